--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -62,6 +62,7 @@
 
 # Outcomes that tell nothing of the server: a request that is at fault would have it left out.
 NO_FAULT = frozenset({Outcome.CANCELLED, Outcome.SKIPPED, Outcome.BAD_REQUEST})
+RETRY_PART = 3  # of the time left to the aim, after which a refused client should come back
 FULL_SPREAD = 50  # sidecars whose first calls to discovery need all the time that rules allow
 
 WATCH_TOKEN = 0  # the one timer that belongs to no request
@@ -391,12 +392,26 @@
         # Nor is it a last resort: a cell whose others stop at once would send it all they held.
         if any(self._warmth(s) >= 1.0 for s in self.pool):
             options = [s for s in options if self._warmth(s) >= 1.0]
+        options = options or self._once_more(held)
         if not options:
             return None
         best = max(options, key=lambda s: (s.health * self._warmth(s), s.tally))
         self._charge(best)
         return best
 
+    def _once_more(self, held: Held) -> list[Server]:
+        """The server tried last, where its answer was spoilt or lost and no other may take the request.
+
+        It drops a repeat as its group does, and most often still has the answer. Guards small groups
+        against anything that spoils single answers. One that has died refuses at once; one that sheds load
+        or starts is left alone.
+        """
+        last = held.attempts[-1] if held.attempts else None
+        if last is None or last.open or not last.may_have_run or self._warmth(last.server) < 1.0:
+            return []
+        tries = sum(attempt.server is last.server for attempt in held.attempts)
+        return [last.server] if tries == 1 and self._may_send(held, last.server) else []
+
     # Request lifecycle
 
     def _on_request(self, request: Request) -> None:
@@ -649,9 +664,16 @@
         # The limit ends the attempt with the client's patience, so that the answer is never late.
         self.out.append(Send(held.id, server.id, held.deadline - self.now))
 
+    def _come_back(self, held: Held) -> int:
+        """When a refused client should try again: soon enough to be served in time, not at once.
+
+        What made this one be refused has hardly passed a moment later, and all come back together.
+        """
+        return min(self.settings.max_retry_after, max(0, held.aim_at - self.now) // RETRY_PART)
+
     def _finish(self, held: Held) -> None:
         refuse = self._may_refuse(held)
-        self.out.append(Refuse(held.id) if refuse else Fail(held.id))
+        self.out.append(Refuse(held.id, self._come_back(held)) if refuse else Fail(held.id))
         self._forget(held)
 
 
