A busy sidecar weighs single errors less, and refuses by what it has under way

Then late answers moved refusals from 0 to 0.9 in a tenth of a second and back, 40 percent of requests being refused with half the fleet gone.

Changes: resets of kept connections blame no server (they may have run all the same); an error costs less where a server is met more than 4 times a second; a busy sidecar refuses when what it has under way needs more than the aim at the present pace of answers. A connection settles for 2 ms before it is used again, since what follows a good answer may come a moment later. Lingering connections make room at the limit. A Connection header can't take a call's names away. One retry chain after discovery moved.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -42,6 +42,8 @@
 )
 
 BETA = 0.8  # share of weight lost by each consecutive error; a sidecar sees too few for the paper's 0.1
+DENSE_BETA = 0.3  # the same where it sees many: one error in a burst must not empty a server
+DENSE = 4.0  # requests a second to each server from which on errors weigh less
 FLOOR = 0.05  # a penalised server keeps this multiple of its weight: enough to be seen to recover
 SLOW = 3.0  # an answer this many times slower than usual counts as an error
 USUAL_MEMORY = 32  # answers over which the usual time is smoothed
@@ -60,11 +62,18 @@
 REFRESHES = 50  # weights are recomputed this many times in a ramp, no oftener: they change slowly
 QUIET_REFRESHES = 8  # the same while nobody is cold or penalised
 
-# Outcomes that tell nothing of the server: a request that is at fault would have it left out.
-NO_FAULT = frozenset({Outcome.CANCELLED, Outcome.SKIPPED, Outcome.BAD_REQUEST})
+# Outcomes that tell nothing of the server. A request that is at fault would have it left out, and so would
+# kept connections that end early, most of all a server that is seldom asked: the less it got the more of
+# them had ended. A server that has died refuses the next connection, and that counts.
+NO_FAULT = frozenset({Outcome.CANCELLED, Outcome.SKIPPED, Outcome.BAD_REQUEST, Outcome.STALE})
 RETRY_PART = 3  # of the time left to the aim, after which a refused client should come back
 FULL_SPREAD = 50  # sidecars whose first calls to discovery need all the time that rules allow
 
+BUSY_GAP = 50_000_000  # a sidecar with less time between requests can tell a queue by its own figures
+QUEUE_MOST = 1.0  # of the aim that the requests under way may need at the present pace of answers
+QUEUE_OVER_SHARE = 0.8  # the same for a tenant beyond its share
+ANSWER_MEMORY = 64  # answers over which their pace is smoothed
+SECOND = 1_000_000_000
 WATCH_TOKEN = 0  # the one timer that belongs to no request
 
 
@@ -171,6 +180,8 @@
         self.usual: dict[int, float] = {}  # time of a good answer, by grade
         self.gap = 0.0  # smoothed time between requests
         self.last_arrival = 0
+        self.answer_gap = 0.0  # smoothed time between good answers
+        self.last_answer = 0
         self.pace: dict[int, float] = {}  # time of a kind's answers, as a multiple of the usual
         self.copies = 1.0  # second copies that may be sent
         self.patience: dict[int, int] = {}  # the longest time a client gave a try, by grade
@@ -263,11 +274,23 @@
         cold = self.settings.cold_share
         return cold + (1.0 - cold) * max(0, self.now - server.started) / ramp
 
+    def _beta(self) -> float:
+        """The share of weight that one error costs: the less, the more often a server is met.
+
+        A sidecar that meets a server twice a minute must act on one error. At dozens a second a dead
+        server fails many times in a row at once, while single errors are chance: acting on each of them
+        swung all traffic from server to server (weights from 0.02 to 0.9 within a second).
+        """
+        if not self.gap or not self.pool:
+            return BETA
+        met = SECOND / self.gap / len(self.pool)
+        return max(DENSE_BETA, BETA / float(max(1.0, met / DENSE) ** 0.5))
+
     def _reweigh(self) -> None:
-        moving = False
+        moving, kept = False, 1.0 - self._beta()
         for server in self.pool:
             server.size = server.units / self.pace.get(server.kind, 1.0)
-            server.health = max(FLOOR, (1.0 - BETA) ** self._decayed(server))
+            server.health = max(FLOOR, kept ** self._decayed(server))
             moving = moving or server.errors > 0.0
         typical = sum(server.health for server in self.pool) / max(1, len(self.pool))
         for server in self.pool:
@@ -479,6 +502,10 @@
             attempt = held.attempts[event.attempt]
             attempt.open = False
             attempt.may_have_run = event.outcome not in NEVER_RAN
+        if event.outcome is Outcome.DONE:
+            if self.last_answer:
+                self.answer_gap += (self.now - self.last_answer - self.answer_gap) / ANSWER_MEMORY
+            self.last_answer = self.now
         if event.final or event.outcome is Outcome.DONE:
             late = event.outcome is not Outcome.DONE or self.now > held.aim_at
             self._judge(held, late)
@@ -595,17 +622,32 @@
         the servers nothing.
         """
         worth = held.grade.worth
-        if self._over_share(held.tenant):
+        over_share = self._over_share(held.tenant)
+        if over_share:
             worth *= self.settings.over_share_worth
         for known in self.mix:
             self.mix[known] -= self.mix[known] / MIX_MEMORY
         self.mix[worth] = self.mix.get(worth, 0.0) + 1.0
+        if self._queue_is_long(held, over_share):
+            return True
         if self.refused_share <= 0.0:
             return False
         cheaper = sum(count for known, count in self.mix.items() if known < worth)
         wanted = self.refused_share * sum(self.mix.values()) - cheaper
         return wanted > 0.0 and self.rng.random() * self.mix[worth] < wanted
 
+    def _queue_is_long(self, held: Held, over_share: bool) -> bool:
+        """Whether those under way will need most of the aim, at the pace at which answers come now.
+
+        Late answers tell of an overload when it is a whole aim old; a busy sidecar that waits for them swings
+        between refusing nothing and nearly all. What it has under way tells at once, whatever has taken the
+        capacity. It could do harm where many requests hang at a silent server: these leave with their blame.
+        """
+        if not 0.0 < self.gap < BUSY_GAP:
+            return False
+        part = QUEUE_OVER_SHARE if over_share else QUEUE_MOST
+        return (len(self.held) - 1) * self.answer_gap > part * held.grade.aim
+
     def _over_share(self, tenant: int) -> bool:
         """Whether the tenant sends this sidecar more than its share of what it gets."""
         tenants = self.settings.tenants
--- a/garnethaven/interface.py
+++ b/garnethaven/interface.py
@@ -47,6 +47,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     SKIPPED = "skipped"
+    STALE = "stale"  # a reset of a kept connection before any answer: it may have run all the same
     BAD_REQUEST = "bad request"  # the endpoint finds fault with the request; only real ones say so
 
 
--- a/garnethaven/net/discovery.py
+++ b/garnethaven/net/discovery.py
@@ -53,11 +53,13 @@
         self.clock_offset = time.time_ns() - time.monotonic_ns()
         self.pool = Pool(loop, limit=3, idle_s=0.0)
         self.pool.targets = lambda: (self.target,)
+        self.pool.settle_s = 0.0  # the next call must follow at once, and one answer is like the other
         self.address = config.discovery
         self.target = Target(self.pool, self.address)
         self.revision = 0
         self.call: ListCall | None = None
         self.moved = False  # to an address that has not told its list yet
+        self.retry: asyncio.TimerHandle | None = None
         self.owes_news = False  # the module asked and has not been answered
         driver.watch = self.watch
 
@@ -100,6 +102,8 @@
     def _ask(self) -> None:
         if self.call is not None:
             return
+        if self.retry is not None:
+            self.retry.cancel()
         path = b"/api/targets"
         if not self.moved:
             path += b"?after=%d&wait_ms=%d" % (self.revision, int(WAIT_S * 1000))
@@ -140,7 +144,7 @@
         if self.pushed or self.moved:
             # After a move nothing is watched until the new address has told its list, and the module
             # would wait for longer than the news may.
-            self.loop.call_later(RETRY_S, self._ask)
+            self.retry = self.loop.call_later(RETRY_S, self._ask)
         else:
             self.driver.post(Membership(ListKind.FAILED))
 
--- a/garnethaven/net/driver.py
+++ b/garnethaven/net/driver.py
@@ -119,7 +119,8 @@
         self.driver.attempt_answered(self, answer)
 
     def broken(self, written: bool) -> None:
-        self.driver.attempt_ended(self, Outcome.RESET if written else Outcome.CONNECT_FAILED)
+        lost = Outcome.STALE if self.stale else Outcome.RESET
+        self.driver.attempt_ended(self, lost if written else Outcome.CONNECT_FAILED)
 
 
 class ProbeCall(Exchange):
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -32,7 +32,7 @@
 # client that sends the same again at once would take the time of all others. The answer itself is not
 # held. Closing instead would have it connect anew, which costs more.
 PENALTY_S = 0.2
-LINGER_S = 1.0  # after an answer to a request that is not read to its end
+LINGER_S = 0.5  # after an answer to a request that is not read to its end
 LINGER_BYTES = 256 * 1024
 SWEEP_S = 0.2
 SILENT_S = 0.1  # at the limit, connections that have asked nothing for this long make room first
@@ -69,6 +69,8 @@
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length"
     b" x-budget-ms proxy-authenticate proxy-authorization x-load-report".split()
 )
+# What a `Connection` header can't take away: endpoints know a request and its repeats by these.
+PASSED_ON = frozenset(b"host x-call-id x-call-class x-caller idempotency-key".split())
 
 
 class Incoming:
@@ -305,7 +307,7 @@
             elif lower == b"x-again":
                 again = value == b"1"
             elif lower == b"connection" and value.lower() not in (b"keep-alive", b"close"):
-                dropped = dropped | {part.strip() for part in value.lower().split(b",")}
+                dropped = dropped | {part.strip() for part in value.lower().split(b",")} - PASSED_ON
             if lower not in dropped:
                 passed_on += (name, b": ", value, b"\r\n")
         if not call_id or not budget.isdigit() or len(budget) > 12 or not int(budget):
@@ -347,13 +349,13 @@
         """Answer a request that no endpoint may see; the connection's next one waits for a while."""
         self.penalised = True
         self._say(status)
-        if not self.closing:
+        if not self.closing and not self.transport.is_closing():
             self.transport.pause_reading()
             self.listener.loop.call_later(PENALTY_S, self._end_penalty)
 
     def _end_penalty(self) -> None:
         self.penalised = False
-        if not self.closing:
+        if not self.transport.is_closing():
             self._go_on()
 
     def _write_answer(self, status: int, body: bytes, headers: list[Header]) -> None:
@@ -427,12 +429,18 @@
             pass
         return False
 
-    def has_asked_nothing(self, now: float) -> bool:
-        """Nothing whole has come since the connection's start or its last answer, and something is due."""
-        if self.call is not None or self.ready or self.closing:
+    def takes_room(self, now: float) -> bool:
+        """Whether it only takes up room: silent or slow, turned away, or answered and not read to the end."""
+        if self.closing:
+            return self.lingering and self not in self.listener.leaving
+        if self.call is not None or self.ready:
             return False
         return self.penalised or (self.waits_since > 0.0 and now - self.waits_since >= SILENT_S)
 
+    def _is_overdue(self, now: float) -> bool:
+        waits = self.waits_since > 0.0 and self.call is None and not self.ready and not self.closing
+        return waits and now - self.waits_since > REQUEST_S
+
     def look_after(self, now: float) -> None:
         """End what does not go on: a request that is never finished, an answer that is never read."""
         unsent = self.transport.get_write_buffer_size()
@@ -441,7 +449,7 @@
                 self.active_at = now
             elif now - self.active_at > WRITE_STALL_S:
                 self.transport.abort()
-        elif self.has_asked_nothing(now) and self.waits_since and now - self.waits_since > REQUEST_S:
+        elif self._is_overdue(now):
             if self.incoming is not None:
                 self._reject(408)
             else:
@@ -456,6 +464,9 @@
             self.closing = True
             self.listener.leaving.add(self)
             self.transport.close()
+        elif self.lingering:
+            self.listener.leaving.add(self)
+            self.transport.abort()
 
 
 class Listener:
@@ -555,7 +566,7 @@
         that has been idle for longest. A request that waits in the kernel is no idleness.
         """
         now = self.loop.time()
-        silent = [one for one in self.connections if one.has_asked_nothing(now)]
+        silent = [one for one in self.connections if one.takes_room(now)]
         silent.sort(key=lambda one: one.waits_since)
         for connection in silent[:wanted]:
             connection.stop_reading()
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -29,6 +29,10 @@
 STALL_S = 0.5
 SWEEPS = 20  # the idle pool is looked through this many times in an idle time
 KEEP_SHARE = 0.85  # of the idle time: a request must not cross the endpoint's own closing
+# A connection is used again this long after its last answer: what an endpoint writes behind a good
+# answer may come a moment after it, and the next request would be given it. A burst opens a connection
+# more instead.
+SETTLE_S = 0.002
 OK = 200
 
 
@@ -61,6 +65,7 @@
         self.connection: Connection | None = None
         self.dial: asyncio.Task[None] | None = None
         self.over = False
+        self.stale = False  # a kept connection ended under it before anything came back
 
     def answered(self, answer: Answer) -> None:
         """The whole answer has come."""
@@ -103,6 +108,7 @@
         self.stall: asyncio.TimerHandle | None = None
         self.opened_at = time.monotonic_ns()
         self.idle_since = 0.0
+        self.idle_for = 0.0  # before the exchange that it carries
 
     # asyncio.Protocol
 
@@ -208,6 +214,7 @@
         """Write the request of `exchange`; its answer or its end is told to it."""
         self.exchange = exchange
         exchange.connection = self
+        self.idle_for = self.target.pool.loop.time() - self.idle_since if self.idle_since else 0.0
         self.answer = Answer()
         self.received = 0
         self.in_body = self.complete = self.reusable = False
@@ -269,6 +276,7 @@
         if exchange is not None:
             exchange.connection = None
             exchange.over = True
+            exchange.stale = self.idle_since > 0.0 and not self.received
             exchange.broken(written)
 
 
@@ -283,12 +291,10 @@
 
     def start(self, exchange: Exchange, dial_timeout: float) -> None:
         """Carry the exchange on an idle connection, or else on a new one."""
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.idle_since > self.pool.expired() and connection.usable():
-                connection.carry(exchange)
-                return
-            connection.drop()
+        connection = self._take_idle()
+        if connection is not None:
+            connection.carry(exchange)
+            return
         if self.address is None or not self.pool.has_room():
             exchange.over = True
             exchange.broken(written=False)
@@ -306,6 +312,22 @@
 
         dial.add_done_callback(dialled)
 
+    def _take_idle(self) -> Connection | None:
+        """The freshest idle connection that is still good and has settled."""
+        settled, expired = self.pool.loop.time() - self.pool.settle_s, self.pool.expired()
+        fresh: list[Connection] = []
+        found: Connection | None = None
+        while self.idle and found is None:
+            connection = self.idle.pop()
+            if connection.idle_since > settled:
+                fresh.append(connection)
+            elif connection.idle_since > expired and connection.usable():
+                found = connection
+            else:
+                connection.drop()
+        self.idle.extend(reversed(fresh))
+        return found
+
     async def _dial(self, exchange: Exchange, address: Address) -> None:
         connection: Connection | None = None
         with contextlib.suppress(OSError, asyncio.CancelledError):
@@ -383,6 +405,7 @@
         self.connections: set[Connection] = set()
         self.dials: set[Exchange] = set()  # each may become a connection
         self.idle_s = idle_s
+        self.settle_s = SETTLE_S
         self.targets: Callable[[], Iterable[Target]] = tuple
         self.sweeping = False
 
