A server's own pace counts where it is met often

Its own pace against its kind's, smoothed over 64 answers, now counts half at the most, and only where a server is met more than 4 times a second.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from zlib import crc32
 
@@ -59,6 +60,7 @@
 COPY_BURST = 5.0  # copies that may be saved up
 GAP_MEMORY = 16  # requests over which the own rate is smoothed
 PACE_MEMORY = 24  # answers over which the pace of a kind of machine is smoothed
+OWN_MEMORY = 64  # the same for one server; so many of its answers count as much as its kind
 REFRESHES = 50  # weights are recomputed this many times in a ramp, no oftener: they change slowly
 QUIET_REFRESHES = 8  # the same while nobody is cold or penalised
 
@@ -88,6 +90,8 @@
         "id",
         "kind",
         "mark",
+        "pace",
+        "paces",
         "seated",
         "size",
         "started",
@@ -108,6 +112,8 @@
         self.tally = 0.0
         self.seated = False
         self.size = 0.0
+        self.pace = 0.0  # logarithm of its time as a multiple of its kind's
+        self.paces = 0  # answers that it was learned from
         self.update(entry)
 
     def update(self, entry: Endpoint) -> None:
@@ -281,15 +287,16 @@
         server fails many times in a row at once, while single errors are chance: acting on each of them
         swung all traffic from server to server (weights from 0.02 to 0.9 within a second).
         """
-        if not self.gap or not self.pool:
-            return BETA
-        met = SECOND / self.gap / len(self.pool)
-        return max(DENSE_BETA, BETA / float(max(1.0, met / DENSE) ** 0.5))
+        return max(DENSE_BETA, BETA / float(max(1.0, self._met() / DENSE) ** 0.5))
+
+    def _met(self) -> float:
+        """How often a second the sidecar comes round to a server."""
+        return SECOND / self.gap / len(self.pool) if self.gap and self.pool else 0.0
 
     def _reweigh(self) -> None:
         moving, kept = False, 1.0 - self._beta()
         for server in self.pool:
-            server.size = server.units / self.pace.get(server.kind, 1.0)
+            server.size = server.units / self.pace.get(server.kind, 1.0) / self._own_pace(server)
             server.health = max(FLOOR, kept ** self._decayed(server))
             moving = moving or server.errors > 0.0
         typical = sum(server.health for server in self.pool) / max(1, len(self.pool))
@@ -561,6 +568,20 @@
         pace = self.pace.get(server.kind, 1.0)
         self.pace[server.kind] = pace + (ratio - pace) / PACE_MEMORY
 
+        own = math.log(max(ratio, 1e-3) / self.pace[server.kind])
+        server.paces = min(server.paces + 1, OWN_MEMORY)
+        server.pace += (own - server.pace) / server.paces
+
+    def _own_pace(self, server: Server) -> float:
+        """How a server's answers compare with its kind's, as far as it is known.
+
+        Machines of a kind differ, and another program may take part of one for a while. A sparse sidecar
+        has too few answers of one server to tell.
+        """
+        if self._met() < DENSE:
+            return 1.0
+        return math.exp(server.pace * server.paces / (server.paces + OWN_MEMORY))
+
     def _on_client_left(self, event: ClientLeft) -> None:
         held = self.held.get(event.id)
         if held is not None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -479,3 +479,14 @@
         counts[send.endpoint % 2] += n >= 200
         driver.end(send, Outcome.DONE, after=80 * MS if send.endpoint % 2 else 40 * MS)
     assert counts[0] > 1.6 * counts[1]
+
+
+def test_turns_follow_the_pace_of_one_server_where_it_is_met_often() -> None:
+    driver = Driver(fleet(6))
+    counts: Counter[int] = Counter()
+    for n in range(900):
+        send = sends(driver.ask())[0]
+        counts[send.endpoint] += n >= 600
+        driver.end(send, Outcome.DONE, after=50 * MS if send.endpoint == 1 else 25 * MS)
+    usual = sum(counts[other] for other in range(2, 7)) / 5
+    assert 0.5 * usual < counts[1] < 0.8 * usual
