--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -100,8 +100,12 @@
         return {"id": name, "host_port": f"127.0.0.1:{self.port}", "phase": "SERVING", "cell": 0}
 
 
-def says(answer: bytes) -> Script:
+def says(answer: bytes, go_on: asyncio.Event | None = None) -> Script:
+    """An endpoint that always says the same, once it may go on."""
+
     async def script(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if go_on is not None:
+            await go_on.wait()
         writer.write(answer)
 
     return script
@@ -448,12 +452,7 @@
 def test_a_connection_that_comes_back_to_an_endpoint_that_is_gone_is_closed() -> None:
     async def case() -> None:
         go_on = asyncio.Event()
-
-        async def slow(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await go_on.wait()
-            writer.write(ANSWER)
-
-        async with running(slow) as (sidecar, (peer,)):
+        async with running(says(ANSWER, go_on)) as (sidecar, (peer,)):
             asked = asyncio.create_task(sidecar.ask(request()))
             await until(lambda: len(peer.requests) == 1)
             sidecar.tell([])
@@ -648,12 +647,7 @@
 def test_what_was_taken_before_the_end_is_answered() -> None:
     async def case() -> None:
         go_on = asyncio.Event()
-
-        async def slow(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await go_on.wait()
-            writer.write(ANSWER)
-
-        async with running(slow) as (sidecar, (peer,)):
+        async with running(says(ANSWER, go_on)) as (sidecar, (peer,)):
             taken = asyncio.create_task(sidecar.ask(request()))
             await until(lambda: len(peer.requests) == 1)
             sidecar.listener.drain()
