Finish the external processor: reasons, reload, every stream answered

The processor told no reason for a refusal, kept its table from its start, and its library dropped 3,172 of 10,000 streams that came at once, without an answer. A key with escapes was placed elsewhere than by the sidecar.

Refusals carry the module's reason, so that a tenant over its share gets 429. What came of a token is said on the answer. SIGHUP takes over keys, routes, times and bounds, and names what waits for a restart. The library's bound on waiting streams is above our own. Decisions leave as bytes: an address's common part is encoded once, and the stream ends with the outcome. One reader of keys serves both fronts. The stand-in proxy can fail open and forge tokens; the rig counts tokens from what proxies were told; `rigs demo external-processor` shows the front. A rig that ends by an error leaves no program behind.

--- a/benchmarks/external_processor.py
+++ b/benchmarks/external_processor.py
@@ -1,6 +1,6 @@
 """What a decision of the external processor costs, against a gRPC server that answers an empty CONTINUE.
 
-    python -m benchmarks.external_processor [--streams 3000] [--long]
+    python -m benchmarks.external_processor [--streams 3000] [--long] [--at-once 10000]
 
 Each server is a process of its own; its CPU time is read from the kernel around the load. The rounds are
 interleaved, and the best of each counts. `--long` also tells the memory after 10,000 and 100,000 streams.
@@ -25,6 +25,7 @@
 import uvloop
 from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
 
+from garnethaven.__main__ import spare_collections
 from garnethaven.engine.classes import Classes
 from garnethaven.engine.engine import Engine
 from garnethaven.extproc.answers import go_on
@@ -70,7 +71,6 @@
     handler = grpc.stream_stream_rpc_method_handler(
         process,
         request_deserializer=pb.ProcessingRequest.FromString,
-        response_serializer=pb.ProcessingResponse.SerializeToString,
     )
     server = grpc.aio.server()
     server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, {"Process": handler}),))
@@ -86,6 +86,7 @@
     loop = asyncio.get_running_loop()
     ended: asyncio.Future[None] = loop.create_future()
     loop.add_signal_handler(signal.SIGTERM, ended.set_result, None)
+    spare_collections()  # as the program does, for both kinds
     await (serve_processor if kind == "processor" else serve_floor)(ended)
 
 
@@ -148,7 +149,7 @@
         return times[len(times) // 2] * 1000, times[int(len(times) * 0.99)] * 1000
 
 
-async def measure(streams: int, long: bool) -> None:
+async def measure(streams: int, long: bool, at_once: int) -> None:
     async with contextlib.AsyncExitStack() as stack:
         loads: dict[str, Load] = {}
         pids: dict[str, int] = {}
@@ -167,6 +168,28 @@
                 await loads["processor"].at_once(max(0, total - loads["processor"].number))
                 held = memory_mb(pids["processor"])
                 print(f"memory after {loads['processor'].number} streams: {held:.1f} MB", flush=True)
+        if at_once:
+            await hold(loads["processor"].proxy, pids["processor"], at_once)
+
+
+async def hold(proxy: Proxy, pid: int, streams: int) -> None:
+    """So many streams, each with a decision and no outcome yet, all open at the same time."""
+    before, began = memory_mb(pid), time.perf_counter()
+    asked = [proxy.ask() for _ in range(streams)]
+    headers = [proxy._headers(f"h{number}", "k", 30.0) for number in range(streams)]
+    told = await asyncio.gather(
+        *(one.decide(its, STREAM_S * 3) for one, its in zip(asked, headers, strict=True))
+    )
+    taken = time.perf_counter() - began
+    decided = sum(one is not None and bool(one.address) for one in told)
+    refused = sum(one is not None and one.status == 503 for one in told)
+    print(
+        f"{streams} streams at once: {decided} decided, {refused} refused, {streams - decided - refused} "
+        f"unanswered within {taken:.1f} s; memory {before:.1f} to {memory_mb(pid):.1f} MB",
+        flush=True,
+    )
+    for one in asked:
+        one.cancel()
 
 
 async def compare(loads: dict[str, Load], pids: dict[str, int], streams: int) -> None:
@@ -189,9 +212,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--streams", type=int, default=3000)
     parser.add_argument("--long", action="store_true")
+    parser.add_argument("--at-once", type=int, default=0, help="also hold so many streams open")
     parser.add_argument("--serve", choices=KINDS)
     wanted = parser.parse_args()
-    uvloop.run(serve(wanted.serve) if wanted.serve else measure(wanted.streams, wanted.long))
+    uvloop.run(serve(wanted.serve) if wanted.serve else measure(wanted.streams, wanted.long, wanted.at_once))
 
 
 if __name__ == "__main__":
--- a/garnethaven/__main__.py
+++ b/garnethaven/__main__.py
@@ -25,10 +25,15 @@
     loop.add_signal_handler(signal.SIGHUP, reload, sidecar, path)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, sidecar.drain)
+    spare_collections()
+    await sidecar.finished()
+
+
+def spare_collections() -> None:
+    """Set the collector for a process whose objects nearly all end by their counts."""
     gc.collect()
     gc.freeze()  # what is here now stays: no collection needs to look at it
     gc.set_threshold(YOUNG_OBJECTS, 10, 10)
-    await sidecar.finished()
 
 
 def reload(sidecar: Sidecar, path: str | None) -> None:
@@ -39,8 +44,9 @@
     except (ConfigError, OperatorError) as problem:
         sidecar.engine.log(f"the old configuration is kept: {problem}")
         return
-    sidecar.engine.log("configuration read anew, discovery at {}:{}".format(*config.discovery))
-    sidecar.reload(config, operator)
+    waits = sidecar.reload(config, operator)
+    said = "configuration read anew, discovery at {}:{}".format(*config.discovery)
+    sidecar.engine.log(said + "".join(f"; {name} waits for a restart" for name in waits))
 
 
 def check(path: str) -> int:
--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -142,6 +142,7 @@
         "id",
         "judged",
         "key",
+        "over_share",
         "tenant",
     )
 
@@ -156,6 +157,7 @@
         self.key = request.key
         self.tenant = request.tenant
         self.attempts: list[Attempt] = []
+        self.over_share = False  # turned away, and its tenant sends more than its share
         self.judged = elapsed > 0  # counted as in time or late; a later try says little of the servers
         self.bound = False  # a stream has begun: the attempt is the client's
 
@@ -652,7 +654,9 @@
         over_share = self._over_share(held.tenant)
         if over_share:
             worth *= self.settings.over_share_worth
-        return self.overload.refuses(worth, held.grade.aim, len(self.held) - 1, over_share, repeat)
+        refused = self.overload.refuses(worth, held.grade.aim, len(self.held) - 1, over_share, repeat)
+        held.over_share = refused and over_share
+        return refused
 
     def _over_share(self, tenant: int) -> bool:
         """Whether the tenant sends this sidecar more than its share of what it gets."""
@@ -721,7 +725,8 @@
 
     def _finish(self, held: Held) -> None:
         refuse = self._may_refuse(held)
-        self.out.append(Refuse(held.id, self._come_back(held)) if refuse else Fail(held.id))
+        refusal = Refuse(held.id, self._come_back(held), held.over_share)
+        self.out.append(refusal if refuse else Fail(held.id))
         self._forget(held)
 
 
--- a/garnethaven/engine/calls.py
+++ b/garnethaven/engine/calls.py
@@ -14,8 +14,11 @@
 class Client(Protocol):
     """Who waits for a call's answer; a front's side of it. Called once, with one of these."""
 
-    def refused(self, retry_after: int) -> None:
-        """Trying again is harmless, after so many nanoseconds (0: nothing is advised)."""
+    def refused(self, retry_after: int, over_share: bool) -> None:
+        """Trying again is harmless, after so many nanoseconds (0: nothing is advised).
+
+        `over_share` tells that the tenant sends more than its share, and was turned away before others.
+        """
 
     def failed(self, status: int) -> None:
         """Nothing is promised: 504 where its time was over, 500 for a fault of our own, else 502."""
--- a/garnethaven/engine/classes.py
+++ b/garnethaven/engine/classes.py
@@ -24,3 +24,11 @@
     def tenant_of(self, name: str) -> int:
         """The tenant's number, or -1 for one that the settings do not name."""
         return self.tenants.get(name, -1)
+
+
+def key_of(query: bytes) -> str:
+    """What a request is about, where its query tells; as it was sent, so that all fronts place it alike."""
+    for part in query.split(b"&"):
+        if part.startswith(b"user="):
+            return part[5:].decode("latin-1")
+    return ""
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -219,7 +219,7 @@
     def _refuse(self, action: Refuse) -> None:
         call = self.calls.get(action.id)
         if call is not None:
-            self._answer(call, lambda: call.client.refused(action.retry_after))
+            self._answer(call, lambda: call.client.refused(action.retry_after, action.over_share))
 
     def _fail(self, action: Fail) -> None:
         call = self.calls.get(action.id)
--- a/garnethaven/extproc/front.py
+++ b/garnethaven/extproc/front.py
@@ -3,7 +3,7 @@
 | a stream is | and on |
 | --- | --- |
 | new | request headers: a call is taken, and the module decides at once |
-| decided | response headers: the outcome is told; its end without them: it may have run, and says nothing |
+| decided | response headers: the outcome is told and the stream ends; its end without them: it may have run |
 | over | anything more is answered with 400 and the stream ends |
 
 A decision that could not be written has not run. Past `streams_most` streams, and while this process is later
@@ -25,7 +25,7 @@
 from garnethaven.engine.classes import Classes
 from garnethaven.engine.engine import MS, Engine, S
 from garnethaven.extproc.answers import SERVED, VALID, go_on, headers_of, immediate, send_to
-from garnethaven.extproc.mapping import TOKEN, Mapped, MappingError, map_request, outcome_of
+from garnethaven.extproc.mapping import CHECKED, TOKEN, Mapped, MappingError, map_request, outcome_of
 from garnethaven.extproc.report import ReportAttempt, ReportTransport
 from garnethaven.extproc.tokens import Flaw, Proof, Tokens
 from garnethaven.interface import Outcome, Prior
@@ -36,6 +36,8 @@
 SERVICE = "envoy.service.ext_proc.v3.ExternalProcessor"
 LAG_EVERY_S = 0.05
 MESSAGE_MOST = 64 * 1024
+PENDING_MOST = 200_000
+ACCEPTED = "accepted"
 BODIES = ("request_body", "response_body", "request_trailers", "response_trailers")
 
 
@@ -46,13 +48,14 @@
         self.front = front
         self.call: Call | None = None
         self.attempt: ReportAttempt | None = None
-        self.reply: pb.ProcessingResponse | None = None
+        self.reply: bytes | None = None
         self.address = ""  # that was decided
+        self.checked = ""  # what came of the token that the request brought
         self.over = False
 
     # What the proxy says
 
-    def take(self, message: pb.ProcessingRequest) -> pb.ProcessingResponse:
+    def take(self, message: pb.ProcessingRequest) -> bytes:
         """One message in, its answer out."""
         part = message.WhichOneof("request")
         if part == "request_headers" and self.call is None and not self.over:
@@ -64,7 +67,7 @@
         self.over = True
         return immediate(400, f"ext_proc: {part or 'an empty message'} out of turn")
 
-    def _request(self, headers: dict[str, str]) -> pb.ProcessingResponse:
+    def _request(self, headers: dict[str, str]) -> bytes:
         front = self.front
         try:
             mapped = map_request(headers, front.classes, front.operator.routes)
@@ -79,7 +82,7 @@
         self.call = call = Call(self, mapped.call_id, ReportTransport(self))
         call.grade, call.caller, call.key = mapped.grade, mapped.tenant, mapped.key
         call.budget, call.repeat = mapped.budget, mapped.repeat
-        call.prior = front.prior(mapped)
+        call.prior, self.checked = front.prior(mapped)
         if not front.engine.take(call):
             self.call, self.over = None, True
             return immediate(409, "ext_proc: a request with this id is under way")
@@ -89,7 +92,7 @@
             return immediate(500, "ext_proc: no decision")
         return self.reply
 
-    def _response(self, headers: dict[str, str]) -> pb.ProcessingResponse:
+    def _response(self, headers: dict[str, str]) -> bytes:
         served_by = headers.get(SERVED)
         try:
             outcome = outcome_of(headers)
@@ -98,6 +101,7 @@
         if served_by is not None and served_by != self.address:
             outcome = Outcome.CANCELLED  # of another server's doing, whatever it was
         self._end(outcome)
+        self.over = True  # nothing more is of use here, and a stream that this side ends costs one read less
         return go_on("response_headers")
 
     # What the engine says
@@ -115,18 +119,27 @@
         token = front.token(attempt)
         if token is not None:
             headers[TOKEN] = token
+        if self.checked:
+            headers[CHECKED] = self.checked
         self.address = address
         self.reply = send_to(address, headers)
 
-    def refused(self, retry_after: int) -> None:
+    def refused(self, retry_after: int, over_share: bool) -> None:
         self.over = True
         headers = {"retry-after": f"{retry_after / S:.3f}"} if retry_after else {}
-        self.reply = immediate(503, "ext_proc: refused, trying again is harmless", headers)
+        if over_share:
+            self.reply = immediate(429, self._details("refused, the tenant is over its share"), headers)
+        else:
+            self.reply = immediate(503, self._details("refused, trying again is harmless"), headers)
 
     def failed(self, status: int) -> None:
         self.over = True
         if self.reply is None:
-            self.reply = immediate(status, "ext_proc: failed, it may have run")
+            self.reply = immediate(status, self._details("failed, it may have run"))
+
+    def _details(self, text: str) -> str:
+        """The reason of an answer that ends the request, for the proxy's log."""
+        return f"ext_proc: {text} (token {self.checked})" if self.checked else f"ext_proc: {text}"
 
     # The end
 
@@ -182,18 +195,28 @@
         self.server: grpc.aio.Server | None = None
         self.port = 0
 
+    def renew(self, operator: ExternalProcessor) -> bool:
+        """Take over the table as it is now; false where its address has changed: that waits for a restart."""
+        same = operator.listen == self.operator.listen
+        self.tokens = Tokens(operator.keys, self.tokens.valid_ms)
+        self.operator = operator
+        return same
+
     async def start(self, address: Address) -> Front:
         server = grpc.aio.server(
             options=[
                 ("grpc.max_receive_message_length", MESSAGE_MOST),
                 ("grpc.max_send_message_length", MESSAGE_MOST),
                 ("grpc.so_reuseport", 0),
+                # The library would drop streams that wait to be taken up; here they are refused with a
+                # reason.
+                ("grpc.server.max_pending_requests", PENDING_MOST),
+                ("grpc.server.max_pending_requests_hard_limit", PENDING_MOST),
             ]
         )
         process = grpc.stream_stream_rpc_method_handler(
             self._process,
             request_deserializer=pb.ProcessingRequest.FromString,
-            response_serializer=pb.ProcessingResponse.SerializeToString,
         )
         server.add_generic_rpc_handlers(
             (grpc.method_handlers_generic_handler(SERVICE, {"Process": process}),)
@@ -258,19 +281,19 @@
         proof = Proof(server.id, server.cell, server.zone, time.time_ns() // MS)
         return self.tokens.sign(proof, attempt.call.call_id, attempt.call.grade)
 
-    def prior(self, mapped: Mapped) -> Prior | None:
-        """What is known of an attempt that was sent before, where one may have been."""
+    def prior(self, mapped: Mapped) -> tuple[Prior | None, str]:
+        """What is known of an attempt that was sent before, where one may have been; and of its token."""
         if not mapped.comes_again:
-            return None
+            return None, ""
         if not mapped.token:
-            return Prior()
+            return Prior(), ""
         now_ms = time.time_ns() // MS
         told = self.tokens.check(mapped.token, mapped.call_id, mapped.grade, now_ms)
         self.checked += 1
         if isinstance(told, Flaw):
             self.rejected += 1
             self.engine.log(f"external processor: a token was rejected: {told.value}")
-            return Prior()
+            return Prior(), f"rejected: {told.value}"
         if mapped.unused:
-            return None
-        return Prior(told.server, told.zone, told.rack, max(0, now_ms - told.sent_ms) * MS)
+            return None, ACCEPTED
+        return Prior(told.server, told.zone, told.rack, max(0, now_ms - told.sent_ms) * MS), ACCEPTED
--- a/garnethaven/extproc/mapping.py
+++ b/garnethaven/extproc/mapping.py
@@ -9,9 +9,8 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from urllib.parse import parse_qsl, urlsplit
 
-from garnethaven.engine.classes import Classes
+from garnethaven.engine.classes import Classes, key_of
 from garnethaven.engine.outcomes import outcome_of as status_outcome
 from garnethaven.interface import Outcome
 from garnethaven.operator import Route
@@ -19,6 +18,7 @@
 MS = 1_000_000
 ID_MOST = 256
 TOKEN = "x-gateway-decision-token"
+CHECKED = "x-gateway-decision-token-checked"  # on the answer to a request that brought a token
 UNUSED = "x-gateway-decision-unused"  # the decision that the token came with was not acted on
 BUDGETS = ("x-budget-ms", "x-envoy-expected-rq-timeout-ms")
 
@@ -57,7 +57,7 @@
         call_id=call_id.encode("latin-1", "replace"),
         grade=grade,
         tenant=classes.tenant_of(headers.get("x-caller", "")),
-        key=key_of(headers.get(":path", "")),
+        key=key_of(headers.get(":path", "").partition("?")[2].encode("latin-1", "replace")),
         budget=budget_of(headers, classes.settings.grades[grade].deadline),
         repeat=headers.get("x-again") == "1",
         token=token,
@@ -75,14 +75,6 @@
     return ""
 
 
-def key_of(path: str) -> str:
-    """What the request is about, where its query tells."""
-    try:
-        return dict(parse_qsl(urlsplit(path).query, max_num_fields=32)).get("user", "")
-    except ValueError:
-        return ""
-
-
 def budget_of(headers: Mapping[str, str], deadline: int) -> int:
     """The least time that any of the headers leaves, in nanoseconds; the class's where none does."""
     least = deadline
--- a/garnethaven/interface.py
+++ b/garnethaven/interface.py
@@ -206,6 +206,7 @@
 
     id: str
     retry_after: int = 0
+    over_share: bool = False  # turned away first because its tenant sends more than its share
 
 
 @dataclass(slots=True)
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -12,7 +12,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from garnethaven.engine.calls import Call
-from garnethaven.engine.classes import Classes
+from garnethaven.engine.classes import Classes, key_of
 from garnethaven.engine.engine import MS, Engine
 from garnethaven.limits.places import Places, Usage
 from garnethaven.net.config import Config
@@ -348,7 +348,7 @@
     def served(self, answer: Answer) -> None:
         self._write_answer(200, b"".join(answer.body), answer.headers)
 
-    def refused(self, retry_after: int) -> None:
+    def refused(self, retry_after: int, over_share: bool) -> None:
         headers = [(b"Retry-After", b"%.3f" % (retry_after / 1e9))] if retry_after else []
         self._write_answer(503, b"", headers)
 
@@ -695,11 +695,3 @@
 
 def head_length(incoming: Incoming) -> int:
     return len(incoming.url) + sum(len(name) + len(value) + 4 for name, value in incoming.headers)
-
-
-def key_of(query: bytes) -> str:
-    """What the request is about, where its query tells."""
-    for part in query.split(b"&"):
-        if part.startswith(b"user="):
-            return part[5:].decode("latin-1")
-    return ""
--- a/garnethaven/net/sidecar.py
+++ b/garnethaven/net/sidecar.py
@@ -80,12 +80,20 @@
         if self.view is not None:
             await self.view.close()
 
-    def reload(self, config: Config, operator: Operator) -> None:
-        """Take over what may change while it runs; the view's address waits for a restart."""
-        self.operator = operator
+    def reload(self, config: Config, operator: Operator) -> list[str]:
+        """Take over what may change while it runs; the names of what waits for a restart."""
+        waits = ["limits.view"] if operator.limits.view != self.operator.limits.view else []
+        before, self.operator = self.operator.external_processor, operator
+        if self.processor is not None:
+            moved = not self.processor.renew(operator.external_processor)
+        else:
+            moved = operator.external_processor.listen != before.listen
+        if moved:
+            waits.append("external_processor.listen")
         self.listener.set_limits(operator.limits)
         self.discovery.fresh.set_wait_most(operator.limits.watch_most_s)
         self.discovery.move(config.discovery)
+        return waits
 
     def _look(self) -> None:
         self.look = self.loop.call_later(LOOK_S, self._look)
--- a/rigs/__main__.py
+++ b/rigs/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m rigs NAME [--seed N] [--seconds S] [--json]`."""
+"""`python -m rigs NAME [FRONT] [--seed N] [--seconds S] [--json]`."""
 
 from __future__ import annotations
 
@@ -14,19 +14,27 @@
     "limits": "places for clients, fresh lists and overload under hostile clients and a failing discovery",
 }
 
+FRONTS = ("external-processor",)
+
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m rigs", description=__doc__)
     parser.add_argument("name", choices=sorted(RIGS), help="; ".join(f"{n}: {t}" for n, t in RIGS.items()))
+    parser.add_argument(
+        "front", nargs="?", choices=FRONTS, help="what the demo shows; the sidecar if left out"
+    )
     parser.add_argument("--seed", type=int, default=None, help="of everything random; a new one if left out")
     parser.add_argument("--seconds", type=float, default=None, help="how long to send; at most 120")
     parser.add_argument("--json", action="store_true", help="end with one JSON object")
     wanted = parser.parse_args()
     if wanted.seconds is not None and not 1.0 <= wanted.seconds <= 120.0:
         parser.error("--seconds is from 1 to 120")
+    if wanted.front and wanted.name != "demo":
+        parser.error(f"{wanted.name} plays one front only")
     seed = wanted.seed if wanted.seed is not None else random.SystemRandom().getrandbits(31)
-    rig = importlib.import_module(f"rigs.{wanted.name.replace('-', '_')}")
-    print(f"rig {wanted.name}, seed {seed}", file=sys.stderr)
+    name = "-".join(word for word in (wanted.name, wanted.front) if word)
+    rig = importlib.import_module(f"rigs.{name.replace('-', '_')}")
+    print(f"rig {name}, seed {seed}", file=sys.stderr)
     held: bool = asyncio.run(rig.play(seed, wanted.seconds, wanted.json))
     return 0 if held else 1
 
--- a/rigs/demo.py
+++ b/rigs/demo.py
@@ -29,7 +29,7 @@
     async with keeping_book(stage):
         sending = asyncio.create_task(application.run(length))
         events = asyncio.create_task(_events(stage, length))
-        counting = asyncio.create_task(_count(stage))
+        counting = asyncio.create_task(count_live(stage))
         await asyncio.gather(sending, events)
         await application.settle()
         counting.cancel()
@@ -57,7 +57,8 @@
     await stage.replace(stage.servers[1])
 
 
-async def _count(stage: Stage) -> None:
+async def count_live(stage: Stage) -> None:
+    """Say how things stand, once a second, until it is cancelled."""
     while True:
         await asyncio.sleep(COUNT_EVERY_S)
         stage.progress.say("")
--- a/rigs/external_processor.py
+++ b/rigs/external_processor.py
@@ -11,6 +11,7 @@
 import random
 import signal
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 
 from rigs.report import Report, print_report
@@ -20,7 +21,6 @@
 from standins.proxy import Proxy, Ways
 
 SERVERS = 12
-PROXIES = 4
 RATE = 90.0  # of each proxy; the HTTP/1.1 application brings the rest
 HTTP_RATE = 40.0
 USUAL_S = 20.0
@@ -36,15 +36,8 @@
     report = Report("external-processor", seed)
     with tempfile.TemporaryDirectory(prefix="rig-") as folder:
         port = free_port()
-        file = Path(folder) / "operator.toml"
-        keys = ", ".join(f'"{key}"' for key in KEYS)
-        file.write_text(f'[external_processor]\nlisten = "127.0.0.1:{port}"\nkeys = [{keys}]\n')
-        program = await stage.up(environment={"NODE_OPERATOR": str(file)})
-        ways = Ways(gives_up=0.02, holds=0.01)
-        proxies = [
-            Proxy(f"p{n}", port, stage.ledger, random.Random(stage.rng.getrandbits(32)), ways)
-            for n in range(PROXIES)
-        ]
+        program = await stage.up(environment=operator_file(folder, port))
+        proxies = [new_proxy(stage, f"p{n}", port, ways) for n, ways in enumerate(_ways(stage))]
         application = stage.application("http", Habits(rate=HTTP_RATE, retries=0))
         began = now()
         async with keeping_book(stage):
@@ -67,6 +60,28 @@
     return report.held(stage.ledger)
 
 
+def operator_file(folder: str, port: int) -> dict[str, str]:
+    """Write a file that switches the processor on; the environment that names it."""
+    file = Path(folder) / "operator.toml"
+    keys = ", ".join(f'"{key}"' for key in KEYS)
+    file.write_text(f'[external_processor]\nlisten = "127.0.0.1:{port}"\nkeys = [{keys}]\n')
+    return {"NODE_OPERATOR": str(file)}
+
+
+def new_proxy(stage: Stage, name: str, port: int, ways: Ways) -> Proxy:
+    return Proxy(name, port, stage.ledger, random.Random(stage.rng.getrandbits(32)), ways)
+
+
+def _ways(stage: Stage) -> list[Ways]:
+    """The proxies' ways: all lose clients and hold decisions; one forges tokens, one fails open.
+
+    The servers that it sends to then are not among those that die or drain.
+    """
+    usual = Ways(gives_up=0.02, holds=0.01)
+    kept = tuple(f"127.0.0.1:{server.port}" for server in stage.servers[6:])
+    return [usual, usual, replace(usual, forges=0.3), replace(usual, fails_open=kept)]
+
+
 async def _twins(proxies: list[Proxy], length: float) -> None:
     """Two proxies ask with one id at the same moment: at most one decision may come of it."""
     ledger = proxies[0].ledger
@@ -109,6 +124,11 @@
     times = sorted(time for proxy in proxies for time in proxy.decided_s) or [0.0]
     report.fields = {
         "first_try_in_time": round(good / max(1, tries), 4),
+        "tokens_checked": sum(sum(proxy.tokens.values()) for proxy in proxies),
+        "tokens_rejected": sum(
+            count for proxy in proxies for said, count in proxy.tokens.items() if said.startswith("rejected")
+        ),
+        "sent_without_decision": sum(proxy.opened for proxy in proxies),
         "stale_decisions": sum(proxy.stale for proxy in proxies),
         "decision_ms_p50": round(times[len(times) // 2] * 1000, 2),
         "decision_ms_p99": round(times[int(len(times) * 0.99)] * 1000, 2),
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -96,6 +96,7 @@
         self.wrong_answers: list[str] = []
         self.ended_at: dict[str, float] = {}  # servers told to drain or gone, and when
         self.late_sends: list[tuple[str, str, float]] = []
+        self.own_ways: set[str] = set()  # requests that a proxy sent on without any decision
         self.lives: list[Life] = []
         self.counts: dict[str, int] = defaultdict(int)
 
@@ -128,6 +129,8 @@
     def began_sending(self, call_id: str, server: str, at: float) -> None:
         """The first byte of a request came to a server."""
         ended = self.ended_at.get(server)
+        if call_id in self.own_ways:
+            return
         if ended is not None and at > ended + self.grace_s + DRAIN_SLACK_S:
             self.late_sends.append((call_id, server, at - ended))
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import atexit
 import contextlib
 import json
 import os
@@ -16,6 +17,7 @@
 
 from standins.wire import read_message, request
 
+ROOT = Path(__file__).parent.parent
 READY_S = 20.0
 END_S = 10.0
 AIM_S = 1.0
@@ -85,7 +87,9 @@
         facts: dict[str, Any],
         sockets: int = 384,
         environment: dict[str, str] | None = None,
+        root: Path = ROOT,
     ) -> None:
+        self.root = root  # of the checkout that is run
         self.folder = tempfile.TemporaryDirectory(prefix="rig-")
         self.path = Path(self.folder.name) / "config.json"
         self.port = free_port()
@@ -101,6 +105,7 @@
         }
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
+        atexit.register(self.cleanup)  # a rig that ends by an error must leave no program behind
 
     async def start(self) -> Program:
         self.path.write_text(json.dumps(self.told))
@@ -110,7 +115,8 @@
             "-m",
             "garnethaven",
             env=environment | self.environment,
-            cwd=Path(__file__).parent.parent,
+            cwd=self.root,
+            stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.DEVNULL,
         )
         self.starts += 1
@@ -168,6 +174,8 @@
             self.signal(signal.SIGCONT)
 
     def cleanup(self) -> None:
+        atexit.unregister(self.cleanup)
         if self.process is not None and self.process.returncode is None:
-            self.process.kill()
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal.SIGKILL)  # also where its loop has been closed
         self.folder.cleanup()
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -26,6 +26,7 @@
 METHOD = "/envoy.service.ext_proc.v3.ExternalProcessor/Process"
 DESTINATION = "x-gateway-destination-endpoint"
 TOKEN = "x-gateway-decision-token"
+CHECKED = "x-gateway-decision-token-checked"
 UNUSED = "x-gateway-decision-unused"
 VALID = "x-gateway-decision-valid-ms"
 ATTEMPTS = "x-envoy-attempt-count"
@@ -42,6 +43,8 @@
     gives_up: float = 0.0  # share of requests whose client leaves after a moment
     holds: float = 0.0  # share of decisions that wait here for longer than they are valid
     hold_s: float = 0.4
+    forges: float = 0.0  # share of tokens that are changed before they are given back
+    fails_open: tuple[str, ...] = ()  # where requests go that the processor decides nothing for; none: closed
 
 
 @dataclass(slots=True)
@@ -54,6 +57,7 @@
     valid_s: float = 0.0
     at: float = 0.0
     details: str = ""
+    checked: str = ""  # what the processor says of the token that it was given back
 
 
 def headers_message(headers: dict[str, str]) -> pb.HttpHeaders:
@@ -66,13 +70,17 @@
     now = time.monotonic()
     if answer.WhichOneof("response") == "immediate_response":
         told = answer.immediate_response
-        return Decision(status=int(told.status.code), details=told.details, at=now)
+        _, _, checked = told.details.partition(" (token ")
+        return Decision(
+            status=int(told.status.code), details=told.details, checked=checked.rstrip(")"), at=now
+        )
     options = answer.request_headers.response.header_mutation.set_headers
     found = {option.header.key: option.header.raw_value.decode() for option in options}
     return Decision(
         address=found[DESTINATION],
         token=found.get(TOKEN, ""),
         valid_s=int(found[VALID]) / 1000,
+        checked=found.get(CHECKED, ""),
         at=now,
     )
 
@@ -135,6 +143,8 @@
         )
         self.errands = Errands()
         self.decided_s: list[float] = []
+        self.tokens: dict[str, int] = {}  # tokens given back, by what the processor said of them
+        self.opened = 0  # requests that were sent on without a decision
         self.stale = 0  # decisions that waited here for longer than they were valid
         self.idle: dict[str, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
 
@@ -188,7 +198,7 @@
             if may_have_run or unused:
                 headers[ATTEMPTS] = "2"
                 if token:
-                    headers[TOKEN] = token
+                    headers[TOKEN] = self._given_back(token)
                 if unused and not may_have_run:
                     headers[UNUSED] = "1"
             asked = self.ask()
@@ -196,10 +206,14 @@
                 began_asking = time.monotonic()
                 decision = await asked.decide(headers, min(left, self.ways.message_timeout_s))
                 if decision is None:  # the processor is gone: nothing was sent for this decision
+                    if self.ways.fails_open and not may_have_run:
+                        return await self._without_decision(call_id, key, left)
                     last = "failed" if may_have_run else "refused"
                     await asyncio.sleep(0.1)
                     continue
                 self.decided_s.append(decision.at - began_asking)
+                if decision.checked:
+                    self.tokens[decision.checked] = self.tokens.get(decision.checked, 0) + 1
                 if decision.status:
                     return ("refused" if decision.status in (429, 503) else "failed"), ""
                 if self.rng.random() < self.ways.holds:
@@ -213,8 +227,7 @@
                 if isinstance(answer, Message):
                     await asked.report(self._told(answer), self.ways.message_timeout_s)
                     if answer.status == 200:
-                        told_id, _, mark = answer.body.decode("latin-1").partition(" ")
-                        return "served", mark if told_id == call_id else ""
+                        return "served", self._mark(answer, call_id)
                     ran = answer.headers.get("x-rejected") != "1"
                 else:
                     ran = answer
@@ -227,6 +240,29 @@
                 asked.cancel()
         return last, ""
 
+    async def _without_decision(self, call_id: str, key: str, left: float) -> tuple[Final, str]:
+        """Fail open: one try at a place of the proxy's own choice, which no rule of the processor's binds."""
+        self.opened += 1
+        self.ledger.own_ways.add(call_id)
+        answer = await self._send(self.rng.choice(self.ways.fails_open), call_id, key, left)
+        if isinstance(answer, Message) and answer.status == 200:
+            return "served", self._mark(answer, call_id)
+        ran = answer is True or (isinstance(answer, Message) and answer.headers.get("x-rejected") != "1")
+        return ("failed" if ran else "refused"), ""
+
+    def _given_back(self, token: str) -> str:
+        """The token, or one that somebody has changed."""
+        if self.rng.random() >= self.ways.forges:
+            return token
+        place = self.rng.randrange(len(token) // 2)
+        return token[:place] + ("A" if token[place] != "A" else "B") + token[place + 1 :]
+
+    @staticmethod
+    def _mark(answer: Message, call_id: str) -> str:
+        """The part of a served body that names its making, where it is this request's."""
+        told_id, _, mark = answer.body.decode("latin-1").partition(" ")
+        return mark if told_id == call_id else ""
+
     def _headers(self, call_id: str, key: str, left: float) -> dict[str, str]:
         return {
             ":method": "POST",
--- a/tests/extproc/test_front.py
+++ b/tests/extproc/test_front.py
@@ -335,10 +335,12 @@
 def test_many_streams_at_once_all_get_their_decision() -> None:
     async def case() -> None:
         async with stage() as made:
-            asked = [made.proxy.ask() for _ in range(300)]
+            # Beyond 3,000 that wait to be taken up the library would drop them itself.
+            asked = [made.proxy.ask() for _ in range(4000)]
             told = await asyncio.gather(
                 *(made.decide(one, x_call_id=f"m{number}") for number, one in enumerate(asked))
             )
+            assert len(told) == 4000  # none without an answer, which `decide` checks
             assert all(one.address or one.status == 503 for one in told)
             for one in asked:
                 one.cancel()
--- a/tests/extproc/test_mapping.py
+++ b/tests/extproc/test_mapping.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import pytest
+from envoy.config.core.v3.base_pb2 import HeaderMap, HeaderValue
+from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
 
-from garnethaven.engine.classes import Classes
+from garnethaven.engine.classes import Classes, key_of
 from garnethaven.engine.engine import with_unsafe_twins
+from garnethaven.extproc.answers import headers_of, option, send_to, template
 from garnethaven.extproc.mapping import MappingError, Route, map_request, outcome_of
 from garnethaven.interface import Outcome
 from garnethaven.settings import read_names, read_settings
@@ -98,3 +101,26 @@
 def test_what_is_no_status_says_nothing(status: str) -> None:
     with pytest.raises(MappingError, match=":status"):
         outcome_of({":status": status})
+
+
+@pytest.mark.parametrize("length", [0, 1, 100, 127, 128, 300, 20_000])
+def test_a_decision_reads_as_the_message_that_the_library_would_build(length: int) -> None:
+    value = "é" * length
+    answer = pb.ProcessingResponse.FromString(send_to("127.0.0.1:20", {"x-a": value, "x-b": "2"}))
+    built = pb.ProcessingResponse.FromString(template("127.0.0.1:20"))
+    options = built.request_headers.response.header_mutation.set_headers
+    options.extend([option("x-a", value), option("x-b", "2")])
+    assert answer == built
+    assert len(answer.request_headers.response.header_mutation.set_headers) == 3
+    assert answer.dynamic_metadata["envoy.lb"]["x-gateway-destination-endpoint"] == "127.0.0.1:20"
+
+
+def test_of_several_headers_with_one_name_the_first_counts() -> None:
+    told = [("A", b"1", ""), ("a", b"2", ""), ("b", b"", "text")]
+    headers = [HeaderValue(key=key, raw_value=raw, value=value) for key, raw, value in told]
+    assert headers_of(pb.HttpHeaders(headers=HeaderMap(headers=headers))) == {"a": "1", "b": "text"}
+
+
+def test_both_fronts_place_a_key_alike() -> None:
+    assert key_of(b"a=1&user=k%201&user=2") == "k%201"
+    assert key_of(b"users=1") == key_of(b"") == ""
--- /dev/null
+++ b/tests/extproc/test_operation.py
@@ -0,0 +1,162 @@
+"""What an operator meets: tenants over their share, reloads, proxies that read nothing or fail open."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
+
+from garnethaven import __main__ as program
+from garnethaven.extproc.mapping import TOKEN
+from garnethaven.interface import Refuse, Request
+from garnethaven.net.sidecar import Sidecar
+from garnethaven.operator import ExternalProcessor, Limits, Operator, Route
+from standins.ledger import Ledger
+from standins.platform import free_port
+from standins.proxy import ATTEMPTS, CHECKED, Proxy, Ways, headers_message
+from tests.extproc.test_front import KEY, stage
+from tests.loopback import config_file, run, until
+
+
+def test_a_tenant_over_its_share_is_told_so_and_others_are_refused() -> None:
+    async def case() -> None:
+        async with stage() as made:
+            engine = made.sidecar.engine
+            for over, status, said in ((True, 429, "share"), (False, 503, "harmless")):
+                engine.balancer.handle = lambda now, event, over=over: (  # type: ignore[method-assign]
+                    [Refuse(event.id, 500_000_000, over)] if isinstance(event, Request) else []
+                )
+                asked = made.proxy.ask()
+                told = pb.ProcessingRequest(request_headers=headers_message(made.headers()))
+                await asked.call.write(told)
+                answer = (await asked.call.read()).immediate_response
+                assert answer.status.code == status
+                assert said in answer.details
+                advice = {option.header.key: option.header.raw_value for option in answer.headers.set_headers}
+                assert advice == {"retry-after": b"0.500"}
+                await until(lambda: not engine.calls)
+
+    run(case())
+
+
+def test_the_answer_says_what_came_of_a_token() -> None:
+    async def case() -> None:
+        async with stage() as made:
+            first = made.proxy.ask()
+            decision = await made.decide(first)
+            first.cancel()
+            await until(made.quiet)
+            assert decision.checked == ""
+            told = await made.decide(made.proxy.ask(), **{TOKEN: decision.token, ATTEMPTS: "2"})
+            assert (told.checked, bool(told.address)) == ("accepted", True)
+            await until(lambda: made.front.streams <= 1)
+            told = await made.decide(made.proxy.ask(), x_call_id="c9", **{TOKEN: decision.token})
+            assert told.status == 502
+            assert told.checked.startswith("rejected: ")
+            assert CHECKED not in told.details
+
+    run(case())
+
+
+def test_a_new_table_is_taken_over_and_a_new_address_is_said_to_wait() -> None:
+    async def case() -> None:
+        async with stage() as made:
+            front = made.front
+            decision = await made.decide(made.proxy.ask())
+            await until(lambda: front.streams <= 1)
+            before = front.operator
+            renewed = replace(
+                before, keys=(b"n" * 16, KEY), valid_ms=77, routes=(Route("check", "/other", ""),)
+            )
+            assert front.renew(renewed)
+            asked = made.proxy.ask()
+            headers = made.headers(x_call_id="c2") | {":path": "/other/x"}
+            del headers["x-call-class"]
+            told = await asked.decide(headers, 10.0)
+            assert told is not None
+            assert (told.valid_s, bool(told.address)) == (0.077, True)
+            old = await made.decide(made.proxy.ask(), **{TOKEN: decision.token, "x-call-id": "c1"})
+            assert old.checked == "accepted" or old.status == 409  # a rotated key still checks
+            assert front.renew(replace(renewed, keys=(b"n" * 16,)))
+            gone = await made.decide(made.proxy.ask(), x_call_id="c3", **{TOKEN: decision.token})
+            assert gone.checked.startswith("rejected: ")
+            assert not front.renew(replace(renewed, listen=("127.0.0.1", 9)))
+
+    run(case())
+
+
+def test_sighup_rereads_the_table_and_keeps_the_old_one_where_the_file_is_bad(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def case() -> None:
+        monkeypatch.setenv(
+            "NODE_CONFIG", str(config_file(tmp_path / "config", listen=f"127.0.0.1:{free_port()}"))
+        )
+        config = program.read_config({"NODE_CONFIG": str(tmp_path / "config")})
+        file = tmp_path / "operator.toml"
+        operator = Operator(Limits(), ExternalProcessor(listen=("127.0.0.1", 0), keys=(KEY,)))
+        sidecar = Sidecar(config, operator, asyncio.get_running_loop())
+        await sidecar.start()
+        front = sidecar.processor
+        assert front is not None
+        file.write_text(
+            f'[external_processor]\nlisten = "127.0.0.1:9"\nvalid_ms = 33\nkeys = ["{"ab" * 16}"]\n'
+        )
+        program.reload(sidecar, str(file))
+        assert (front.operator.valid_ms, front.tokens.keys) == (33, (b"\xab" * 16,))
+        assert "external_processor.listen waits for a restart" in capsys.readouterr().err
+        file.write_text("[external_processor]\nvalid_ms = 9\n")
+        sidecar.engine.logged_at = 0
+        program.reload(sidecar, str(file))
+        assert front.operator.valid_ms == 33
+        assert "'external_processor.valid_ms' is not from 20 to 400" in capsys.readouterr().err
+        sidecar.drain()
+        await sidecar.finished()
+
+    run(case())
+
+
+def test_a_proxy_that_never_reads_holds_up_nobody_and_no_more_than_its_window() -> None:
+    async def case() -> None:
+        async with stage() as made:
+            deaf = made.proxy.ask()
+            await deaf.call.write(pb.ProcessingRequest(request_headers=headers_message(made.headers())))
+            body = pb.ProcessingRequest(request_body=pb.HttpBody(body=b"x" * 4000))
+            for _ in range(2000):
+                try:
+                    async with asyncio.timeout(0.5):
+                        await deaf.call.write(body)
+                except TimeoutError:
+                    break  # its own window is full: the processor takes no more of it
+            for number in range(20):
+                asked = made.proxy.ask()
+                assert (await made.decide(asked, x_call_id=f"o{number}")).address
+                await asked.report({":status": "200"}, 10.0)
+            deaf.cancel()
+            await until(lambda: made.front.streams == 0 and made.quiet())
+
+    run(case())
+
+
+@pytest.mark.parametrize("opens", [True, False])
+def test_a_proxy_without_a_processor_fails_as_it_is_set(opens: bool) -> None:
+    async def case() -> None:
+        async with stage() as made:
+            peer = made.peers[0]
+            ledger = Ledger(6.0, 0.5, 3.0, 3.0, 0.2)
+            to = (f"127.0.0.1:{peer.port}",) if opens else ()
+            ways = Ways(tries=1, message_timeout_s=0.3, fails_open=to)
+            proxy = Proxy("q", made.front.port, ledger, random.Random(2), ways)
+            await made.front.close(0.0)
+            await proxy.one("q1")
+            await proxy.close()
+            sent = ledger.sent["q1"]
+            assert proxy.opened == len(peer.requests) == int(opens)
+            assert sent.final == ("served" if opens else "refused")
+            assert ledger.own_ways == ({"q1"} if opens else set())
+
+    run(case())
--- a/tests/rigs/test_rigs.py
+++ b/tests/rigs/test_rigs.py
@@ -50,3 +50,12 @@
     code, figures, said = play(*words)
     assert (code, figures) == (2, {})
     assert "error" in said
+
+
+def test_the_demo_of_the_external_processor_serves_and_keeps_every_promise() -> None:
+    code, figures, said = play("demo", "external-processor", "--seed", "5", "--seconds", "5")
+    assert code == 0, said
+    assert figures["served"] > 150
+    assert figures["decisions"] >= figures["served"]
+    assert figures["restarts"] == 1
+    assert "planned restart" in said
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -378,11 +378,22 @@
     tenants = (Tenant(0.5, 10.0), Tenant(0.5, 10.0))
     driver = Driver(fleet(4), replace(SETTINGS, tenants=tenants, over_share_worth=0.1))
     refused: Counter[int] = Counter()
+    reasons: Counter[int] = Counter()
     for n in range(200):
         driver.balancer.overload.refused_share = 0.15
         tenant = 0 if n % 4 == 0 else 1
-        refused[tenant] += bool(of(driver.ask(tenant=tenant), Refuse))
+        refusals = of(driver.ask(tenant=tenant), Refuse)
+        refused[tenant] += len(refusals)
+        reasons[tenant] += sum(refusal.over_share for refusal in refusals)
     assert refused[1] > 20 and refused[0] <= 2
+    assert reasons[1] > 20 and reasons[0] == 0
+
+
+def test_a_refusal_for_want_of_servers_is_not_laid_to_the_tenant() -> None:
+    driver = Driver((), replace(SETTINGS, tenants=(Tenant(0.01, 1.0),)))
+    refusals = [refusal for _ in range(50) for refusal in of(driver.ask(tenant=0), Refuse)]
+    assert len(refusals) == 50
+    assert not any(refusal.over_share for refusal in refusals)
 
 
 def test_a_busy_sidecar_refuses_by_what_it_has_under_way() -> None:
