Follow ephemeral nodes of a registry, with one membership model for every source

Part of the estate registers check servers as ephemeral nodes that vanish when a session ends; a fleet may use such a registry and discovery at once.

Change. membership/: a pure model of one list from several sources (an owner by precedence, gone is gone, draining anywhere wins, a node made anew is cold unless its start proves otherwise); a source over the published ZooKeeper client protocol (session, following, payloads in three forms, hosts, batches: all pure; one asyncio client); the program's own registration; a last list over a restart. In the decision module: a newcomer that waits for its first turn serves at once when all others go (every request was refused, for good), and a lost try is not repeated at a server that has gone since.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -232,7 +232,7 @@
         if event.kind is not ListKind.DELTA:
             listed = {entry.id for entry in event.endpoints}
             for gone in [known for known in self.servers if known not in listed]:
-                del self.servers[gone]
+                self._drop(gone)
         for entry in event.endpoints:
             self._learn(entry)
         self.pool = [self.servers[k] for k in sorted(self.servers) if self.servers[k].state is State.UP]
@@ -242,12 +242,18 @@
         """Take in a list entry; a server that has started anew is a new one."""
         known = self.servers.get(entry.id)
         if entry.state is State.REMOVED:
-            self.servers.pop(entry.id, None)
+            self._drop(entry.id)
         elif known is not None and known.started == entry.started:
             known.update(entry)
         else:
             self.servers[entry.id] = Server(entry)
 
+    def _drop(self, endpoint: int) -> None:
+        """A server is gone: attempts that remember it must not lead back there."""
+        server = self.servers.pop(endpoint, None)
+        if server is not None:
+            server.state = State.REMOVED
+
     # Health and weights
 
     def _record_failure(self, server: Server) -> None:
@@ -324,11 +330,12 @@
         weight. Placed among the others' tallies at once, a light one would be within their ordinary
         ups and downs, and so the next pick of every fifth sidecar at the same moment.
         """
+        # With nobody left to wait for, those that wait are all there is.
         first = not any(server.seated and server.weight > 0.0 for server in self.pool)
         for server in self.pool:
             if server.weight <= 0.0:
                 server.seated, server.tally = False, 0.0
-            elif not server.seated and server.tally >= 0.0:
+            elif not server.seated and (first or server.tally >= 0.0):
                 server.tally = -self.rng.random()  # seeded, or all sidecars would walk in lockstep
                 server.seated = first
         self.ring = [s for s in self.pool if s.weight > 0.0 and s.seated]
--- a/garnethaven/net/discovery.py
+++ b/garnethaven/net/discovery.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 from garnethaven.engine.engine import MS, Engine, S
@@ -64,8 +65,10 @@
         transport: HttpTransport,
         loop: asyncio.AbstractEventLoop,
         watch_most_s: float = WAIT_MOST_S,
+        learn: Callable[[ListKind, Entries], None] | None = None,
     ) -> None:
         self.engine = engine
+        self.learn = learn or transport.learn  # to the transport, or to a model of several sources
         self.transport = transport
         self.loop = loop
         self.pushed = not config.settings.ask_discovery
@@ -99,7 +102,7 @@
         except ListError as problem:
             self.engine.log(f"the known list cannot be read: {problem}")
             entries = []
-        self.transport.learn(ListKind.PERSISTED, entries)
+        self.learn(ListKind.PERSISTED, entries)
         if self.pushed:
             self.watch()
 
@@ -224,7 +227,7 @@
             self.loop.call_later(self.fresh.ask_again_s(now), self._ask_if_empty)
         if entries or complete or self.owes_news:
             self.owes_news = False
-            self.transport.learn(ListKind.FULL if complete else ListKind.DELTA, entries)
+            self.learn(ListKind.FULL if complete else ListKind.DELTA, entries)
 
     def _renew(self, now: float) -> None:
         """A call out of turn was answered: an overdue watch is as good as dead, begin another."""
--- a/garnethaven/net/sidecar.py
+++ b/garnethaven/net/sidecar.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from garnethaven.extproc.front import Front
+    from garnethaven.membership.sources import Sources
     from garnethaven.net.limits_view import LimitsView
 
 LOOK_S = 1.0  # between two looks at the limits for the log
@@ -32,7 +33,15 @@
         self.transport = HttpTransport(
             self.engine, config.settings, loop, self._endpoints_most, config.memory_mb
         )
-        self.discovery = Discovery(config, self.engine, self.transport, loop, operator.limits.watch_most_s)
+        self.membership = self._membership(config, operator)
+        self.discovery = Discovery(
+            config,
+            self.engine,
+            self.transport,
+            loop,
+            operator.limits.watch_most_s,
+            self.membership.merger.from_discovery if self.membership is not None else None,
+        )
         self.engine.start()
         self.discovery.start(config.known)
         self.listener = Listener(
@@ -41,9 +50,18 @@
         self.view: LimitsView | None = None
         self.processor: Front | None = None
         self.processor_end: asyncio.Task[None] | None = None
+        self.withdrawal: asyncio.Task[None] | None = None
         self.line = LogLine()
         self.look = loop.call_later(LOOK_S, self._look)
 
+    def _membership(self, config: Config, operator: Operator) -> Sources | None:
+        """Sources beside discovery, where the operator's file has any."""
+        if operator.membership is None or operator.membership.zookeeper is None:
+            return None
+        from garnethaven.membership.sources import Sources
+
+        return Sources(operator.membership, config, self.loop, self.transport.learn, self.engine.log)
+
     def _clients_most(self) -> int:
         return self.descriptors.clients(self.transport.pool.held())
 
@@ -63,9 +81,21 @@
 
             front = Front(processor, self.engine, self.transport, self.listener.classes)
             self.processor = await front.start(processor.listen)
+        if self.membership is not None:
+            self.membership.start()
 
     def drain(self) -> None:
-        """Begin the planned end, of all fronts."""
+        """Begin the planned end, of all fronts; a registration is taken back before."""
+        if self.membership is None:
+            self._drain_fronts()
+        elif self.withdrawal is None:
+            self.withdrawal = self.loop.create_task(self._withdraw(self.membership))
+
+    async def _withdraw(self, membership: Sources) -> None:
+        await membership.withdraw()
+        self._drain_fronts()
+
+    def _drain_fronts(self) -> None:
         self.listener.drain()
         if self.processor is not None and self.processor_end is None:
             longest = max(grade.deadline for grade in self.engine.settings.grades)
@@ -76,6 +106,8 @@
         await self.listener.finished
         if self.processor_end is not None:
             await self.processor_end
+        if self.membership is not None:
+            await self.membership.close()
         self.look.cancel()
         if self.view is not None:
             await self.view.close()
@@ -90,6 +122,10 @@
             moved = operator.external_processor.listen != before.listen
         if moved:
             waits.append("external_processor.listen")
+        if self.membership is not None:
+            waits += self.membership.reload(operator.membership)
+        elif operator.membership is not None and operator.membership.zookeeper is not None:
+            waits.append("membership")
         self.listener.set_limits(operator.limits)
         self.discovery.fresh.set_wait_most(operator.limits.watch_most_s)
         self.discovery.move(config.discovery)
--- a/garnethaven/operator.py
+++ b/garnethaven/operator.py
@@ -9,11 +9,15 @@
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, fields
+from typing import TYPE_CHECKING
 
 from garnethaven.limits.lists import WAIT_MOST_S
 from garnethaven.limits.places import CALM_WAIT_S
 from garnethaven.net.config import Address, parse_address
 
+if TYPE_CHECKING:
+    from garnethaven.membership.settings import Membership
+
 VARIABLE = "NODE_OPERATOR"
 OPTION = "--operator"
 KEY_LEAST = 16  # bytes of a secret
@@ -70,6 +74,7 @@
 
     limits: Limits = Limits()
     external_processor: ExternalProcessor = ExternalProcessor()
+    membership: Membership | None = None  # read by membership/settings.py
 
 
 BOUNDS = {
@@ -110,7 +115,7 @@
     """One table of the file while it is checked."""
 
     def __init__(self, checked: Checked, told: dict[str, object], name: str) -> None:
-        table = told.get(name, {})
+        table = told.get(name.rpartition(".")[2], {})
         if not isinstance(table, dict):
             raise checked.error(name, "is not a table")
         self.checked = checked
@@ -120,8 +125,27 @@
     def error(self, field: str, problem: str) -> OperatorError:
         return self.checked.error(f"{self.name}.{field}", problem)
 
+    def table(self, field: str) -> Table:
+        """A table in this one; an empty one where it is left out."""
+        return Table(self.checked, self.told, f"{self.name}.{field}")
+
+    def text(self, field: str) -> str:
+        value = self.told.get(field, "")
+        if not isinstance(value, str):
+            raise self.error(field, f"is not a text: {value!r}")
+        return value
+
+    def flag(self, field: str) -> bool:
+        value = self.told.get(field, False)
+        if not isinstance(value, bool):
+            raise self.error(field, f"is not true or false: {value!r}")
+        return value
+
+    def known(self, names: set[str]) -> None:
+        self.checked.only(self.told, names, f"{self.name}.")
+
     def only(self, kind: type[Limits] | type[ExternalProcessor]) -> None:
-        self.checked.only(self.told, {field.name for field in fields(kind)}, f"{self.name}.")
+        self.known({field.name for field in fields(kind)})
 
     def address(self, field: str) -> Address | None:
         if field not in self.told:
@@ -137,11 +161,13 @@
             raise self.error(field, f"is not an array: {value!r}")
         return value
 
-    def number(self, field: str, default: float, whole: bool = False) -> float:
+    def number(
+        self, field: str, default: float, whole: bool = False, bounds: tuple[float, float] | None = None
+    ) -> float:
         if field not in self.told:
             return default
         value = self.told[field]
-        low, high = BOUNDS[field]
+        low, high = bounds or BOUNDS[field]
         sound = isinstance(value, int) if whole else isinstance(value, int | float)
         if not sound or isinstance(value, bool) or not isinstance(value, int | float):
             raise self.error(field, f"is not a {'whole ' if whole else ''}number: {value!r}")
@@ -162,8 +188,14 @@
         return Operator(
             limits=self._limits(Table(self, told, "limits")),
             external_processor=self._external_processor(Table(self, told, "external_processor")),
+            membership=self._membership(Table(self, told, "membership")) if "membership" in told else None,
         )
 
+    def _membership(self, table: Table) -> Membership:
+        from garnethaven.membership.settings import read_membership
+
+        return read_membership(table)
+
     def _limits(self, table: Table) -> Limits:
         table.only(Limits)
         defaults = Limits()
--- a/rigs/__main__.py
+++ b/rigs/__main__.py
@@ -10,6 +10,7 @@
 
 RIGS = {
     "demo": "stand-ins, the sidecar and a client with live counts; nothing to configure",
+    "ephemeral": "servers as ephemeral nodes of a registry that loses sessions, hosts, events and everything",
     "external-processor": "proxies that call once a request, through crashes, drains and two restarts",
     "limits": "places for clients, fresh lists and overload under hostile clients and a failing discovery",
 }
--- a/rigs/stage.py
+++ b/rigs/stage.py
@@ -47,19 +47,27 @@
         self.servers = [self._server(number) for number in range(servers)]
         self.names = servers
         self.program: Program | None = None
+        self.listed = True  # whether discovery tells of the servers
 
     def _server(self, number: int) -> CheckServer:
         rack = self.racks[number % len(self.racks)]
         rng = random.Random(self.rng.getrandbits(32))
         return CheckServer(f"s{number}", rack, self.ledger, rng, work_s=self.work_s, ramp_s=self.ramp_s)
 
-    async def up(
-        self, facts: dict[str, Any] | None = None, environment: dict[str, str] | None = None
-    ) -> Program:
+    async def open_peers(self) -> None:
+        """The check servers and discovery listen."""
         for server in self.servers:
             await server.start()
         await self.discovery.start()
-        self.discovery.publish(server.member() for server in self.servers)
+
+    async def up(
+        self, facts: dict[str, Any] | None = None, environment: dict[str, str] | None = None
+    ) -> Program:
+        """The program runs before its peers, which are opened where they are not yet."""
+        if not self.discovery.port:
+            await self.open_peers()
+        if self.listed:
+            self.discovery.publish(server.member() for server in self.servers)
         self.discovery.known_at.clear()  # the program begins with this list
         self.program = Program(
             self.discovery.port,
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -95,6 +95,7 @@
         self.made: dict[str, set[str]] = defaultdict(set)  # answers that servers made, by id
         self.wrong_answers: list[str] = []
         self.ended_at: dict[str, float] = {}  # servers told to drain or gone, and when
+        self.latest_send_s = 0.0  # the longest time from a server's end to a request that came to it
         self.late_sends: list[tuple[str, str, float]] = []
         self.own_ways: set[str] = set()  # requests that a proxy sent on without any decision
         self.lives: list[Life] = []
@@ -131,6 +132,8 @@
         ended = self.ended_at.get(server)
         if call_id in self.own_ways:
             return
+        if ended is not None:
+            self.latest_send_s = max(self.latest_send_s, at - ended)
         if ended is not None and at > ended + self.grace_s + DRAIN_SLACK_S:
             self.late_sends.append((call_id, server, at - ended))
 
--- /dev/null
+++ b/tests/membership/test_settings.py
@@ -0,0 +1,101 @@
+"""The operator's table, checked strictly; off means absent."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from garnethaven.membership.settings import Membership
+from garnethaven.operator import OperatorError, read_operator
+
+ROOT = Path(__file__).parent.parent.parent
+LOADED = (
+    "import sys, garnethaven.__main__; "
+    "print([name for name in sys.modules if name.startswith('garnethaven.membership')])"
+)
+GOOD = 'hosts = ["127.0.0.1:2181", "127.0.0.2"]\nroot = "/checks"\n'
+
+
+def read(text: str, tmp_path: Path) -> Membership:
+    path = tmp_path / "o.toml"
+    path.write_text(text)
+    told = read_operator(str(path)).membership
+    assert told is not None
+    return told
+
+
+def test_nothing_of_it_is_imported_where_it_is_off() -> None:
+    told = subprocess.run([sys.executable, "-c", LOADED], cwd=ROOT, capture_output=True, text=True)
+    assert told.stdout.strip() == "[]", told.stderr
+
+
+def test_the_example_is_good() -> None:
+    told = read_operator(str(ROOT / "deploy" / "examples" / "membership.toml")).membership
+    assert told is not None and told.zookeeper is not None
+    assert len(told.zookeeper.hosts) == 3
+    assert told.zookeeper.rules.form == "curator"
+    assert told.zookeeper.register is not None
+
+
+def test_defaults_and_the_registrys_own_port(tmp_path: Path) -> None:
+    registry = read(f"[membership.zookeeper]\n{GOOD}", tmp_path).zookeeper
+    assert registry is not None
+    assert registry.hosts == (("127.0.0.1", 2181), ("127.0.0.2", 2181))
+    assert (registry.session_timeout_ms, registry.digest, registry.tls, registry.register) == (
+        6000,
+        None,
+        None,
+        None,
+    )
+
+
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ("hosts = []", "hosts"),
+        ('hosts = ["registry.example:2181"]', "hosts"),
+        ('hosts = ["127.0.0.1:0"]', "hosts"),
+        ("hosts = [2181]", "hosts"),
+        ('root = "checks"', "root"),
+        ('root = "/checks/"', "root"),
+        ("root = 3", "root"),
+        ('form = "xml"', "form"),
+        ("secure = 1", "secure"),
+        ('allowed = ["10.0.0.1/8"]', "allowed"),
+        ("session_timeout_ms = 100", "session_timeout_ms"),
+        ("session_timeout_ms = 6000.5", "session_timeout_ms"),
+        ("spread_ms = -1", "spread_ms"),
+        ('digest = "user"', "digest"),
+        ('read_only = "yes"', "read_only"),
+        ("cache = 1", "cache"),
+        ("port = 1", "port"),
+        ('map = {rack = "a"}', "map.rack"),
+        ('tls = {ca = "/nowhere.pem"}', "tls.ca"),
+        ('tls = {authority = "x"}', "tls.authority"),
+        ('register = {path = "me"}', "register.path"),
+        ('register = {path = "/me", form = "x"}', "register.form"),
+        ('register = {path = "/me", withdraw_ms = 9999}', "register.withdraw_ms"),
+    ],
+)
+def test_a_bad_field_is_named(line: str, field: str, tmp_path: Path) -> None:
+    name = line.partition(" ")[0]
+    kept = "".join(f"{told}\n" for told in GOOD.splitlines() if not told.startswith(name + " "))
+    with pytest.raises(OperatorError, match=f"'membership.zookeeper.{field}' ") as raised:
+        read(f"[membership.zookeeper]\n{line}\n{kept}", tmp_path)
+    assert "." in field or "line 2" in str(raised.value)
+
+
+@pytest.mark.parametrize("line", ['precedence = ["zookeeper"]', 'precedence = ["x", "y"]', "sources = 1"])
+def test_precedence_names_every_source_once(line: str, tmp_path: Path) -> None:
+    with pytest.raises(OperatorError, match="line 2"):
+        read(f"[membership]\n{line}\n", tmp_path)
+
+
+def test_precedence_may_be_turned_round(tmp_path: Path) -> None:
+    assert read('[membership]\nprecedence = ["discovery", "zookeeper"]\n', tmp_path).precedence == (
+        "discovery",
+        "zookeeper",
+    )
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -389,6 +389,26 @@
     assert reasons[1] > 20 and reasons[0] == 0
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_a_newcomer_that_waits_for_its_turn_serves_at_once_when_the_others_go(seed: int) -> None:
+    driver = Driver(fleet(2), seed=seed)
+    for _ in range(20):
+        driver.serve()
+    newcomer = Endpoint(id=3, cell=2)
+    driver.feed(Membership(ListKind.DELTA, (newcomer,)))
+    driver.feed(Membership(ListKind.DELTA, tuple(replace(one, state=State.REMOVED) for one in fleet(2))))
+    assert [driver.target() for _ in range(5)] == [3] * 5
+
+
+def test_a_lost_try_is_not_repeated_at_a_server_that_has_gone_since() -> None:
+    driver = Driver(fleet(1))
+    (send,) = sends(driver.ask(grade=2))
+    driver.feed(Membership(ListKind.DELTA, (replace(fleet(1)[0], state=State.REMOVED),)))
+    actions = driver.end(send, Outcome.RESET)
+    assert not sends(actions)
+    assert len(of(actions, Fail)) == 1
+
+
 def test_a_refusal_for_want_of_servers_is_not_laid_to_the_tenant() -> None:
     driver = Driver((), replace(SETTINGS, tenants=(Tenant(0.01, 1.0),)))
     refusals = [refusal for _ in range(50) for refusal in of(driver.ask(tenant=0), Refuse)]
