Plan connections to servers: paced dials, learned idle limits, opening ahead, caps

A cold server that returns got a burst of fresh connections, and requests were lost to connections that something had closed in silence: each request that found none idle dialled, without bound for a server, and whatever came back was kept.

Change. connections/: a pure planner (the way of a request, the pace of a fleet that does not talk, idle limits from headers, pairs of ends and silence, demand, whether opening ahead pays, caps) and a pool that carries it out at the seams of the old one. What was not written goes on another connection at no cost, what is given back is skipped and blames nobody, a repeat gets a trusted or new connection, an unsafe request never one in doubt. Strict table [connections], taken over at SIGHUP, off by default.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -198,6 +198,13 @@
             Started: self._on_started,
         }
 
+    def standing(self, endpoint: int) -> tuple[float, bool]:
+        """A server's warmth, from 0 to 1, and whether errors hold it down; (0, True) for one not known."""
+        server = self.servers.get(endpoint)
+        if server is None:
+            return 0.0, True
+        return self._warmth(server), self._decayed(server) >= 1.0
+
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at time `now` and return what is to be done, in order."""
         self.now = now
--- a/garnethaven/net/sidecar.py
+++ b/garnethaven/net/sidecar.py
@@ -11,8 +11,9 @@
 from garnethaven.net.config import Config
 from garnethaven.net.discovery import Discovery
 from garnethaven.net.listener import Listener
-from garnethaven.net.transport import HttpTransport
-from garnethaven.operator import Operator
+from garnethaven.net.transport import HttpTransport, MakePool
+from garnethaven.net.upstream import Pool
+from garnethaven.operator import Connections, Operator
 
 if TYPE_CHECKING:
     from garnethaven.extproc.front import Front
@@ -31,7 +32,12 @@
         self.descriptors = Descriptors(config.sockets)
         self.engine = Engine(config.name, config.settings, config.seed, loop)
         self.transport = HttpTransport(
-            self.engine, config.settings, loop, self._endpoints_most, config.memory_mb
+            self.engine,
+            config.settings,
+            loop,
+            self._endpoints_most,
+            config.memory_mb,
+            self._make_pool(config, operator),
         )
         self.membership = self._membership(config, operator)
         self.discovery = Discovery(
@@ -54,6 +60,14 @@
         self.line = LogLine()
         self.look = loop.call_later(LOOK_S, self._look)
 
+    def _make_pool(self, config: Config, operator: Operator) -> MakePool:
+        """The pool of connections to servers, planned where the operator's file says so."""
+        if not operator.connections.plan:
+            return Pool
+        from garnethaven.connections.planned import pool_maker
+
+        return pool_maker(operator.connections, self.engine, config.seed)
+
     def _membership(self, config: Config, operator: Operator) -> Sources | None:
         """Sources beside discovery, where the operator's file has any."""
         if operator.membership is None or operator.membership.zookeeper is None:
@@ -115,11 +129,12 @@
     def reload(self, config: Config, operator: Operator) -> list[str]:
         """Take over what may change while it runs; the names of what waits for a restart."""
         waits = ["limits.view"] if operator.limits.view != self.operator.limits.view else []
-        before, self.operator = self.operator.external_processor, operator
+        before, self.operator = self.operator, operator
         if self.processor is not None:
             moved = not self.processor.renew(operator.external_processor)
         else:
-            moved = operator.external_processor.listen != before.listen
+            moved = operator.external_processor.listen != before.external_processor.listen
+        waits += self._renew_pool(before.connections, operator.connections)
         if moved:
             waits.append("external_processor.listen")
         if self.membership is not None:
@@ -131,6 +146,17 @@
         self.discovery.move(config.discovery)
         return waits
 
+    def _renew_pool(self, before: Connections, after: Connections) -> list[str]:
+        if before.plan != after.plan:
+            return ["connections.plan"]
+        if after.plan and after != before:
+            from garnethaven.connections.planned import rules_of
+            from garnethaven.connections.pool import PlannedPool
+
+            assert isinstance(self.transport.pool, PlannedPool)
+            self.transport.pool.set_rules(rules_of(after, self.engine.settings))
+        return []
+
     def _look(self) -> None:
         self.look = self.loop.call_later(LOOK_S, self._look)
         line = self.line.due(self.figures(), self.loop.time())
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -12,6 +12,7 @@
 from garnethaven.engine.engine import MS, Engine, S
 from garnethaven.engine.outcomes import outcome_of
 from garnethaven.interface import (
+    Effect,
     Endpoint,
     ListKind,
     Membership,
@@ -26,6 +27,7 @@
 from garnethaven.net.upstream import Answer, Exchange, Pool, Target
 
 PROBE_LIMIT = S
+MakePool = Callable[[asyncio.AbstractEventLoop, Callable[[], int], float, AnswerMemory], Pool]
 REPORT_NAMES = {"active": "inflight", "waiting": "queue", "cpu": "util"}  # the module's names, on sockets
 REPORT_NAMES |= {"avg_ms": "latency_ms", "rps": "qps", "err_rps": "eps"}
 
@@ -60,6 +62,8 @@
         self.endpoint = endpoint
         self.number = len(call.attempts)
         self.sent_at = now
+        self.again = self.number > 0
+        self.careful = transport.engine.settings.grades[call.grade].effect is Effect.FRAGILE
 
     def start(self) -> None:
         transport = self.transport
@@ -81,7 +85,8 @@
 
     def broken(self, written: bool) -> None:
         lost = Outcome.STALE if self.stale else Outcome.RESET
-        self.transport.engine.attempt_ended(self, lost if written else Outcome.CONNECT_FAILED)
+        never = Outcome.SKIPPED if self.skipped else Outcome.CONNECT_FAILED
+        self.transport.engine.attempt_ended(self, lost if written else never)
 
 
 class ProbeCall(Exchange):
@@ -108,10 +113,11 @@
         loop: asyncio.AbstractEventLoop,
         connections: Callable[[], int],
         memory_mb: int,
+        make_pool: MakePool = Pool,
     ) -> None:
         self.engine = engine
         self.settings = settings
-        self.pool = Pool(loop, connections, settings.conn_idle / S, AnswerMemory(memory_mb))
+        self.pool = make_pool(loop, connections, settings.conn_idle / S, AnswerMemory(memory_mb))
         self.targets: dict[int, Target] = {}
         self.pool.targets = self.targets.values
         self.dial_timeout = (settings.dial_timeout or S) / S
@@ -189,8 +195,7 @@
     def _learn_target(self, entry: Endpoint, address: Address | None) -> None:
         target = self.targets.get(entry.id)
         if target is None:
-            self.targets[entry.id] = Target(self.pool, address)
-            return
-        target.move(address)
-        if entry.started:
-            target.close_idle(opened_before=entry.started)  # they lead to a process that is gone
+            target = self.targets[entry.id] = self.pool.target(entry.id, address)
+        else:
+            target.move(address)
+        target.began(entry.started)
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -70,6 +70,10 @@
         self.over = False
         self.refused = False  # no connection came up, through no shortage of this side
         self.stale = False  # a kept connection ended under it before anything came back
+        self.careful = False  # it must not be lost: no connection in doubt is good enough
+        self.again = False  # it repeats a try that was lost, perhaps on a connection in doubt
+        self.skipped = False  # nothing was tried, through no fault of the endpoint
+        self.redone = False  # it has been moved to another connection once, for it had not been written
 
     def answered(self, answer: Answer) -> None:
         """The whole answer has come."""
@@ -415,6 +419,11 @@
                 self.idle.remove(connection)
                 connection.drop()
 
+    def began(self, started: int) -> None:
+        """The endpoint's process started then (local nanoseconds; 0: long ago)."""
+        if started:
+            self.close_idle(opened_before=started)  # they lead to a process that is gone
+
     def abandon_waiting(self) -> None:
         """End what has not been written: nothing new may reach an endpoint that drains or is gone."""
         for exchange in list(self.waiting):
@@ -437,12 +446,16 @@
         self.limit = limit  # the most connections just now
         self.memory = memory
         self.connections: set[Connection] = set()
-        self.dials: set[Exchange] = set()  # each may become a connection
+        self.dials: set[object] = set()  # each may become a connection
         self.idle_s = idle_s
         self.settle_s = SETTLE_S
         self.targets: Callable[[], Iterable[Target]] = tuple
         self.sweeping = False
 
+    def target(self, endpoint: int, address: Address | None) -> Target:
+        """What leads to one endpoint."""
+        return Target(self, address)
+
     def has_room(self) -> bool:
         """Whether one more connection may be opened, if need be in place of the longest idle one."""
         return self.held() < self.limit() or self.close_oldest_idle()
--- a/garnethaven/operator.py
+++ b/garnethaven/operator.py
@@ -68,12 +68,30 @@
     routes: tuple[Route, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class Connections:
+    """Table `[connections]`; on where `plan` is true."""
+
+    plan: bool = False
+    # 1 to 10,000: new connections a second that the whole fleet opens to one warm server.
+    opens_per_s: float = 40.0
+    # 1 to 100,000: connections that a server accepts from the whole fleet.
+    accepts: int = 370
+    # 1 to 86,400: after so many seconds a connection is closed when it is free.
+    age_s: float = 600.0
+    # 1 to 1,000,000,000: after so many requests a connection is closed.
+    requests_most: int = 10_000
+    # Whether connections are opened ahead of need.
+    ahead: bool = True
+
+
 @dataclass(slots=True, frozen=True)
 class Operator:
     """The whole file."""
 
     limits: Limits = Limits()
     external_processor: ExternalProcessor = ExternalProcessor()
+    connections: Connections = Connections()
     membership: Membership | None = None  # read by membership/settings.py
 
 
@@ -84,6 +102,10 @@
     "client_places": (1, 1_000_000),
     "calm_idle_s": (0.5, 3600.0),
     "watch_most_s": (2.0, 60.0),
+    "opens_per_s": (1.0, 10_000.0),
+    "accepts": (1, 100_000),
+    "age_s": (1.0, 86_400.0),
+    "requests_most": (1, 1_000_000_000),
 }
 
 
@@ -135,8 +157,8 @@
             raise self.error(field, f"is not a text: {value!r}")
         return value
 
-    def flag(self, field: str) -> bool:
-        value = self.told.get(field, False)
+    def flag(self, field: str, default: bool = False) -> bool:
+        value = self.told.get(field, default)
         if not isinstance(value, bool):
             raise self.error(field, f"is not true or false: {value!r}")
         return value
@@ -144,7 +166,7 @@
     def known(self, names: set[str]) -> None:
         self.checked.only(self.told, names, f"{self.name}.")
 
-    def only(self, kind: type[Limits] | type[ExternalProcessor]) -> None:
+    def only(self, kind: type[Limits] | type[ExternalProcessor] | type[Connections]) -> None:
         self.known({field.name for field in fields(kind)})
 
     def address(self, field: str) -> Address | None:
@@ -188,6 +210,7 @@
         return Operator(
             limits=self._limits(Table(self, told, "limits")),
             external_processor=self._external_processor(Table(self, told, "external_processor")),
+            connections=self._connections(Table(self, told, "connections")),
             membership=self._membership(Table(self, told, "membership")) if "membership" in told else None,
         )
 
@@ -220,6 +243,18 @@
             routes=tuple(self._route(table, told) for told in table.array("routes")),
         )
 
+    def _connections(self, table: Table) -> Connections:
+        table.only(Connections)
+        defaults = Connections()
+        return Connections(
+            plan=table.flag("plan"),
+            opens_per_s=table.number("opens_per_s", defaults.opens_per_s),
+            accepts=int(table.number("accepts", defaults.accepts, whole=True)),
+            age_s=table.number("age_s", defaults.age_s),
+            requests_most=int(table.number("requests_most", defaults.requests_most, whole=True)),
+            ahead=table.flag("ahead", defaults.ahead),
+        )
+
     def _key(self, table: Table, text: object) -> bytes:
         try:
             key = bytes.fromhex(text) if isinstance(text, str) else b""
--- /dev/null
+++ b/tests/connections/test_settings.py
@@ -0,0 +1,87 @@
+"""The operator's table, checked strictly; off means absent; a reload takes other bounds over."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from garnethaven import __main__ as program
+from garnethaven.connections.pool import PlannedPool
+from garnethaven.net.sidecar import Sidecar
+from garnethaven.net.upstream import Pool
+from garnethaven.operator import Connections, Operator, OperatorError, read_operator
+from standins.platform import free_port
+from tests.loopback import config_file, run
+from tests.rigs.test_rigs import play
+
+ROOT = Path(__file__).parent.parent.parent
+LOADED = (
+    "import sys, garnethaven.__main__; "
+    "print([name for name in sys.modules if name.startswith('garnethaven.connections')])"
+)
+
+
+def test_nothing_of_it_is_imported_where_it_is_off() -> None:
+    told = subprocess.run([sys.executable, "-c", LOADED], cwd=ROOT, capture_output=True, text=True)
+    assert told.stdout.strip() == "[]", told.stderr
+
+
+def test_the_example_is_good() -> None:
+    told = read_operator(str(ROOT / "deploy" / "examples" / "connections.toml")).connections
+    assert told.plan and told.ahead and told.opens_per_s == 40.0
+
+
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ("plan = 1", "plan"),
+        ("opens_per_s = 0.5", "opens_per_s"),
+        ("opens_per_s = nan", "opens_per_s"),
+        ("accepts = 0", "accepts"),
+        ("accepts = 3.5", "accepts"),
+        ('age_s = "long"', "age_s"),
+        ("requests_most = 0", "requests_most"),
+        ('ahead = "no"', "ahead"),
+        ("idle_s = 3", "idle_s"),
+    ],
+)
+def test_a_bad_field_is_named_with_its_line(line: str, field: str, tmp_path: Path) -> None:
+    path = tmp_path / "o.toml"
+    path.write_text(f"[connections]\n{line}\n")
+    with pytest.raises(OperatorError, match=f"line 2: 'connections.{field}'"):
+        read_operator(str(path))
+
+
+def test_a_reload_takes_other_bounds_over_and_says_what_waits(tmp_path: Path) -> None:
+    async def case() -> None:
+        path = config_file(tmp_path / "config", listen=f"127.0.0.1:{free_port()}")
+        config = program.read_config({"NODE_CONFIG": str(path)})
+        before = Operator(connections=Connections(plan=True))
+        sidecar = Sidecar(config, before, asyncio.get_running_loop())
+        pool = sidecar.transport.pool
+        assert isinstance(pool, PlannedPool)
+        halved = replace(before, connections=replace(before.connections, accepts=185, opens_per_s=20.0))
+        assert sidecar.reload(config, halved) == []
+        assert (pool.rules.accepts, pool.rules.opens_per_s) == (185, 20.0)
+        assert sidecar.reload(config, Operator()) == ["connections.plan"]
+        off = Sidecar(replace(config, listen=("127.0.0.1", free_port())), Operator(), sidecar.loop)
+        assert type(off.transport.pool) is Pool
+        for one in (sidecar, off):
+            one.drain()
+            await one.finished()
+
+    run(case())
+
+
+def test_the_rig_in_short_loses_nothing_and_keeps_to_its_bound() -> None:
+    code, figures, said = play("connections", "--seed", "6", "--seconds", "5")
+    assert code in (0, 1), said
+    assert figures["sent"] > 1000, said
+    assert figures["broken"] == {"lost": 0, "twice": 0, "drain": 0, "cold": 0}, (said, figures)
+    assert figures["missing"] == figures["doubled"] == 0
+    assert figures["opens_per_s_peak"] <= figures["opens_per_s_bound"], figures
