Carry gRPC beside HTTP/1.1 on the same core: front, transport, one table of statuses

Landlord portals move some calls to gRPC while the rest stay on HTTP/1.1, under the same rules.

Change. grpcs/: an HTTP/2 front and transport of the engine on h2; pure modules for the table of statuses and outcomes, routes, time-outs, floods, GOAWAY and which connection carries the next stream. Messages pass as bytes; answers of methods that do not stream are held back for a repeat, a request is kept to 64 KiB for one; what GOAWAY and RST_STREAM prove is used; back-pressure holds end to end; TLS with ALPN. Strict table [grpc], routes taken over at SIGHUP, off by default, optional packages. In the decision module a stream that has begun is not blamed for lasting, is no part of the queue that refusals go by, and its length teaches nothing (a thousand idle streams made it refuse everything).

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -187,6 +187,7 @@
         self.next_token = WATCH_TOKEN + 1
         self.timers: dict[int, str] = {}
         self.held: dict[str, Held] = {}
+        self.lasting = 0  # of these, streams that have begun: they may last, and are no queue
         self.handlers = {
             Request: self._on_request,
             AttemptEnded: self._on_attempt_ended,
@@ -538,7 +539,7 @@
             attempt = held.attempts[event.attempt]
             attempt.open = False
             attempt.may_have_run = event.outcome not in NEVER_RAN
-        if event.outcome is Outcome.DONE:
+        if event.outcome is Outcome.DONE and not held.bound:
             self.overload.answered(self.now, event.duration / max(1, held.grade.aim))
         if event.final or event.outcome is Outcome.DONE:
             late = event.outcome is not Outcome.DONE or self.now > held.aim_at
@@ -569,7 +570,7 @@
             return
         done = event.outcome is Outcome.DONE
         # A slow server answers everything in the end: without this it would keep its full weight.
-        slow = done and held is not None and self._too_slow(server, held, event.duration)
+        slow = done and held is not None and not held.bound and self._too_slow(server, held, event.duration)
         if done and not slow:
             self._record_success(server)
         elif held is None or event.attempt >= len(held.attempts) or not held.attempts[event.attempt].blamed:
@@ -616,8 +617,10 @@
 
     def _on_stream_began(self, event: StreamBegan) -> None:
         held = self.held.get(event.id)
-        if held is not None:
+        if held is not None and not held.bound:
             held.bound = True
+            self.lasting += 1
+            self._judge(held, late=self.now > held.aim_at)  # how long it lasts from here tells nothing
 
     def _on_probe_ended(self, event: ProbeEnded) -> None:
         pass
@@ -627,7 +630,7 @@
             self.out.append(Watch())
             return
         held = self.held.get(self.timers.pop(event.token, ""))
-        if held is None:
+        if held is None or held.bound:  # a stream that has begun may last: that is no slowness
             return
         if self.now < min(held.aim_at, held.deadline):
             self._send_copy(held)
@@ -648,6 +651,7 @@
     def _forget(self, held: Held) -> None:
         """The client has its answer: drop the request and withdraw what is still out."""
         del self.held[held.id]
+        self.lasting -= held.bound
         if self.settings.cancel and not held.bound:
             for number, attempt in enumerate(held.attempts):
                 if attempt.open:
@@ -668,7 +672,9 @@
         over_share = self._over_share(held.tenant)
         if over_share:
             worth *= self.settings.over_share_worth
-        refused = self.overload.refuses(worth, held.grade.aim, len(self.held) - 1, over_share, repeat)
+        refused = self.overload.refuses(
+            worth, held.grade.aim, len(self.held) - 1 - self.lasting, over_share, repeat
+        )
         held.over_share = refused and over_share
         return refused
 
--- a/garnethaven/net/sidecar.py
+++ b/garnethaven/net/sidecar.py
@@ -8,7 +8,7 @@
 from garnethaven.engine.engine import Engine, S
 from garnethaven.limits.budgets import Descriptors
 from garnethaven.limits.view import Figures, LogLine
-from garnethaven.net.config import Config
+from garnethaven.net.config import Address, Config
 from garnethaven.net.discovery import Discovery
 from garnethaven.net.listener import Listener
 from garnethaven.net.transport import HttpTransport, MakePool
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from garnethaven.extproc.front import Front
+    from garnethaven.grpcs.front import Front as GrpcFront
     from garnethaven.membership.sources import Sources
     from garnethaven.net.limits_view import LimitsView
 
@@ -56,6 +57,8 @@
         self.view: LimitsView | None = None
         self.processor: Front | None = None
         self.processor_end: asyncio.Task[None] | None = None
+        self.grpc: GrpcFront | None = None
+        self.grpc_end: asyncio.Task[None] | None = None
         self.withdrawal: asyncio.Task[None] | None = None
         self.line = LogLine()
         self.look = loop.call_later(LOOK_S, self._look)
@@ -95,9 +98,27 @@
 
             front = Front(processor, self.engine, self.transport, self.listener.classes)
             self.processor = await front.start(processor.listen)
+        if self.operator.grpc.listen is not None:
+            await self._start_grpc(self.operator.grpc.listen)
         if self.membership is not None:
             self.membership.start()
 
+    async def _start_grpc(self, listen: Address) -> None:
+        from garnethaven.grpcs.front import Front, client_tls
+        from garnethaven.grpcs.transport import GrpcTransport
+
+        def address_of(endpoint: int) -> Address | None:
+            target = self.transport.targets.get(endpoint)
+            if target is None or target.address is None:
+                return None
+            host, port = target.address
+            return host, port + self.operator.grpc.port_offset
+
+        tls = client_tls(self.operator.grpc) if self.operator.grpc.server_ca else None
+        carrier = GrpcTransport(self.engine, self.loop, address_of, tls)
+        front = Front(self.operator.grpc, self.engine, carrier, self.listener.classes)
+        self.grpc = await front.start(listen)
+
     def drain(self) -> None:
         """Begin the planned end, of all fronts; a registration is taken back before."""
         if self.membership is None:
@@ -111,8 +132,10 @@
 
     def _drain_fronts(self) -> None:
         self.listener.drain()
+        longest = max(grade.deadline for grade in self.engine.settings.grades)
+        if self.grpc is not None and self.grpc_end is None:
+            self.grpc_end = self.loop.create_task(self.grpc.close(longest / S))
         if self.processor is not None and self.processor_end is None:
-            longest = max(grade.deadline for grade in self.engine.settings.grades)
             self.processor_end = self.loop.create_task(self.processor.close(longest / S))
 
     async def finished(self) -> None:
@@ -120,6 +143,8 @@
         await self.listener.finished
         if self.processor_end is not None:
             await self.processor_end
+        if self.grpc_end is not None:
+            await self.grpc_end
         if self.membership is not None:
             await self.membership.close()
         self.look.cancel()
@@ -134,6 +159,8 @@
             moved = not self.processor.renew(operator.external_processor)
         else:
             moved = operator.external_processor.listen != before.external_processor.listen
+        if not self.grpc.renew(operator.grpc) if self.grpc is not None else operator.grpc != before.grpc:
+            waits.append("grpc")
         waits += self._renew_pool(before.connections, operator.connections)
         if moved:
             waits.append("external_processor.listen")
--- a/garnethaven/operator.py
+++ b/garnethaven/operator.py
@@ -85,6 +85,36 @@
     ahead: bool = True
 
 
+@dataclass(slots=True, frozen=True)
+class Grpc:
+    """Table `[grpc]`; on where `listen` is set."""
+
+    # Where gRPC clients connect: cleartext HTTP/2 with prior knowledge.
+    listen: Address | None = None
+    # -20,000 to 20,000: what is added to a server's port for its gRPC port.
+    port_offset: int = 0
+    # The class of methods that no route names; none, the default: they are UNIMPLEMENTED.
+    default: str = ""
+    # 1 to 86,400: the longest that a call of a streaming route may last without a `grpc-timeout`.
+    stream_most_s: int = 3_600
+    # Files in PEM: with `cert` clients must use TLS; with `server_ca` servers are asked over TLS.
+    cert: str = ""
+    key: str = ""
+    server_ca: str = ""
+    # `[[grpc.routes]]`: `path` (a service or a method), `class`, `streams`, `keyed`.
+    routes: tuple[GrpcRoute, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class GrpcRoute:
+    """One rule of the operator's for gRPC methods."""
+
+    path: str
+    grade: str
+    streams: bool = False  # its answers are passed on as they come
+    keyed: bool = False  # its servers drop repeats by the call id
+
+
 @dataclass(slots=True, frozen=True)
 class Operator:
     """The whole file."""
@@ -92,6 +122,7 @@
     limits: Limits = Limits()
     external_processor: ExternalProcessor = ExternalProcessor()
     connections: Connections = Connections()
+    grpc: Grpc = Grpc()
     membership: Membership | None = None  # read by membership/settings.py
 
 
@@ -102,6 +133,8 @@
     "client_places": (1, 1_000_000),
     "calm_idle_s": (0.5, 3600.0),
     "watch_most_s": (2.0, 60.0),
+    "port_offset": (-20_000, 20_000),
+    "stream_most_s": (1, 86_400),
     "opens_per_s": (1.0, 10_000.0),
     "accepts": (1, 100_000),
     "age_s": (1.0, 86_400.0),
@@ -166,7 +199,7 @@
     def known(self, names: set[str]) -> None:
         self.checked.only(self.told, names, f"{self.name}.")
 
-    def only(self, kind: type[Limits] | type[ExternalProcessor] | type[Connections]) -> None:
+    def only(self, kind: type[Limits] | type[ExternalProcessor] | type[Connections] | type[Grpc]) -> None:
         self.known({field.name for field in fields(kind)})
 
     def address(self, field: str) -> Address | None:
@@ -211,6 +244,7 @@
             limits=self._limits(Table(self, told, "limits")),
             external_processor=self._external_processor(Table(self, told, "external_processor")),
             connections=self._connections(Table(self, told, "connections")),
+            grpc=self._grpc(Table(self, told, "grpc")),
             membership=self._membership(Table(self, told, "membership")) if "membership" in told else None,
         )
 
@@ -255,6 +289,31 @@
             ahead=table.flag("ahead", defaults.ahead),
         )
 
+    def _grpc(self, table: Table) -> Grpc:
+        table.only(Grpc)
+        defaults = Grpc()
+        return Grpc(
+            listen=table.address("listen"),
+            port_offset=int(table.number("port_offset", defaults.port_offset, whole=True)),
+            default=table.text("default"),
+            cert=table.text("cert"),
+            key=table.text("key"),
+            server_ca=table.text("server_ca"),
+            stream_most_s=int(table.number("stream_most_s", defaults.stream_most_s, whole=True)),
+            routes=tuple(self._grpc_route(table, told) for told in table.array("routes")),
+        )
+
+    def _grpc_route(self, table: Table, told: object) -> GrpcRoute:
+        if not isinstance(told, dict) or set(told) - {"path", "class", "streams", "keyed"}:
+            raise table.error("routes", "has a route with other fields than path, class, streams and keyed")
+        path, grade = told.get("path"), told.get("class")
+        flags = (told.get("streams", False), told.get("keyed", False))
+        if not isinstance(path, str) or not path.startswith("/") or not isinstance(grade, str):
+            raise table.error("routes", "has a route without a path that begins with / and a class")
+        if not all(isinstance(flag, bool) for flag in flags):
+            raise table.error("routes", "has a route whose streams or keyed is not true or false")
+        return GrpcRoute(path, grade, *flags)
+
     def _key(self, table: Table, text: object) -> bytes:
         try:
             key = bytes.fromhex(text) if isinstance(text, str) else b""
--- a/rigs/__main__.py
+++ b/rigs/__main__.py
@@ -13,6 +13,7 @@
     "demo": "stand-ins, the sidecar and a client with live counts; nothing to configure",
     "ephemeral": "servers as ephemeral nodes of a registry that loses sessions, hosts, events and everything",
     "external-processor": "proxies that call once a request, through crashes, drains and two restarts",
+    "grpc": "one fault script over HTTP/1.1 and gRPC at once, every status, and streams through a drain",
     "limits": "places for clients, fresh lists and overload under hostile clients and a failing discovery",
 }
 
--- /dev/null
+++ b/rigs/grpc.py
@@ -0,0 +1,133 @@
+"""The rig `grpc`: one fault script over HTTP/1.1 and gRPC clients at once, at the same check servers.
+
+Eight servers speak both on grpcio and our own HTTP/1.1, with one queue and one book; two cold returns, two
+drains and a server with errors come while both applications send alike. Their outcome counts must match.
+Then every status of gRPC, and streams that last through a drain.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from rigs.report import Report, print_report
+from rigs.stage import Stage, keeping_book, now
+from standins.clients import Habits
+from standins.grpc_client import GrpcApplication
+from standins.grpc_server import CODES, OFFSET, GrpcCheckServer
+from standins.ledger import Ledger
+from standins.platform import AIM_S, free_port
+
+SERVERS = 8
+RATE = 70.0  # of either application
+USUAL_S = 16.0
+WORK_S = 0.04  # of two cores at each server: some 400 requests a second in all
+APART = 0.03  # by which the shares of outcomes of both protocols may differ
+STREAMS = 6
+INTERNAL = 13
+RETRIED = (4, 8, 14)  # a server's own words that an unsafe call's client must not be given
+
+
+class GrpcStage(Stage):
+    def _server(self, number: int) -> GrpcCheckServer:
+        rack = self.racks[number % len(self.racks)]
+        rng = random.Random(self.rng.getrandbits(32))
+        return GrpcCheckServer(f"s{number}", rack, self.ledger, rng, self.work_s, self.ramp_s)
+
+
+async def play(seed: int, seconds: float | None, as_json: bool) -> bool:
+    """Send for `seconds` (16); true where every promise held."""
+    length = seconds or USUAL_S
+    stage = GrpcStage(seed, SERVERS, sockets=768, work_s=WORK_S)
+    report = Report("grpc", seed)
+    with tempfile.TemporaryDirectory(prefix="rig-") as folder:
+        port = free_port()
+        await stage.up(environment=_operator_file(folder, port))
+        http = stage.application("http", Habits(rate=RATE, retries=2))
+        rng = random.Random(stage.rng.getrandbits(32))
+        grpc = GrpcApplication("grpc", port, stage.ledger, rng, RATE)
+        began = now()
+        async with keeping_book(stage):
+            streams = [asyncio.create_task(grpc.stream(40, length / 60)) for _ in range(STREAMS)]
+            await asyncio.gather(http.run(length), grpc.run(length), _faults(stage, length))
+            await http.settle()
+            await grpc.settle()
+            await asyncio.gather(*streams)
+            stage.progress.say("every status")
+            mismatches = [told for code in CODES if (told := await _status(grpc, code))]
+        await grpc.close()
+        _judge(report, stage, grpc, mismatches, began)
+        code = await stage.down()
+    if code:
+        report.unkept.append(f"the program ended with code {code}")
+    print_report(report, stage.ledger, as_json)
+    return report.held(stage.ledger)
+
+
+def _operator_file(folder: str, port: int) -> dict[str, str]:
+    file = Path(folder) / "operator.toml"
+    file.write_text(
+        f'[grpc]\nlisten = "127.0.0.1:{port}"\nport_offset = {OFFSET}\n'
+        '[[grpc.routes]]\npath = "/check.Checks/Run"\nclass = "check"\nkeyed = true\n'
+        '[[grpc.routes]]\npath = "/check.Checks/Status"\nclass = "check"\n'
+        '[[grpc.routes]]\npath = "/check.Checks/Echo"\nclass = "check"\nstreams = true\n'
+    )
+    return {"NODE_OPERATOR": str(file)}
+
+
+async def _faults(stage: Stage, length: float) -> None:
+    rng = random.Random(stage.rng.getrandbits(32))
+    chosen = rng.sample(stage.servers, 5)
+    await asyncio.sleep(length * 0.1)
+    stage.progress.say("one server answers a fifth with errors")
+    chosen[0].error_rate = 0.2
+    await asyncio.sleep(length * 0.15)
+    chosen[0].error_rate = 0.0
+    stage.progress.say("two servers die and come back cold")
+    await stage.outage(list(chosen[1:3]), length * 0.08)
+    await asyncio.sleep(length * 0.15)
+    stage.progress.say("two servers are drained and replaced")
+    await asyncio.gather(stage.replace(chosen[3]), stage.replace(chosen[4]))
+
+
+async def _status(grpc: GrpcApplication, code: int) -> str:
+    """What is wrong with the answer to a call whose server says `code`; nothing where it is by the table."""
+    got, message, mark = await grpc.status(code)
+    if code in RETRIED:
+        return "" if got in (INTERNAL, 4) and (code == 4 or got == INTERNAL) else f"{code} came as {got}"
+    if got != code or mark != f"status {code}":
+        return f"{code} came as {got} with {mark!r}"
+    return "" if code == 0 or message == f"100% {CODES[code].name}" else f"{code} came with {message!r}"
+
+
+def _judge(report: Report, stage: Stage, grpc: GrpcApplication, mismatches: list[str], began: float) -> None:
+    ledger = stage.ledger
+    good, tries = ledger.in_time(AIM_S)
+    counts = {name: _counts(ledger, name) for name in ("http", "grpc")}
+    report.fields = {
+        "first_try_in_time": round(good / max(1, tries), 4),
+        "http1": counts["http"],
+        "grpc": counts["grpc"],
+        "mapping_mismatches": len(mismatches),
+        "trailers_changed": grpc.trailers_changed,
+        "streams": grpc.streams,
+        "streams_broken": grpc.streams_broken,
+        "attempts": ledger.counts["attempts"],
+        "seconds": round(now() - began, 1),
+    }
+    if mismatches:
+        report.unkept.append(f"statuses: {mismatches}")
+    if grpc.trailers_changed:
+        report.unkept.append("trailers were changed")
+    for final in ("served", "refused", "failed"):
+        shares = [told[final] / max(1, sum(told.values())) for told in counts.values()]
+        if abs(shares[0] - shares[1]) > APART:
+            report.unkept.append(f"the shares of {final} differ: {shares[0]:.3f} and {shares[1]:.3f}")
+
+
+def _counts(ledger: Ledger, name: str) -> dict[str, Any]:
+    finals = [one.final for call_id, one in ledger.sent.items() if call_id.startswith(name + "-")]
+    return {final: finals.count(final) for final in ("served", "refused", "failed")}
--- a/standins/check_server.py
+++ b/standins/check_server.py
@@ -170,22 +170,31 @@
         call_id = message.headers.get("x-call-id", "")
         if not call_id:
             return response(404)
-        sent = self.ledger.sent.get(call_id)
-        if sent is None or method not in ("GET", "POST"):
-            self.ledger.counts["unknown_ids"] += 1
+        if method not in ("GET", "POST"):
             return response(400)
+        status, body = await self.receive(call_id, message.headers.get("idempotency-key", ""), now)
+        return response(status, body, NOT_RUN if status == 503 else None)
+
+    async def receive(self, call_id: str, key: str, now: float) -> tuple[int, bytes]:
+        """One request, whatever protocol brought it: its HTTP status and its body.
+
+        503 is one that never ran.
+        """
+        if call_id not in self.ledger.sent:
+            self.ledger.counts["unknown_ids"] += 1
+            return 400, b""
         self.ledger.began_sending(call_id, self.name, now)
         self.ledger.counts["attempts"] += 1
         if self.life is not None:
             self.life.receipts.append(Receipt(self.name, now, self.work_s))
         if self.draining or self.held >= self.cores + self.queue:
-            return response(503, headers=NOT_RUN)
-        return await self._run(call_id, message.headers.get("idempotency-key", ""))
+            return 503, b""
+        return await self._run(call_id, key)
 
-    async def _run(self, call_id: str, key: str) -> bytes:
+    async def _run(self, call_id: str, key: str) -> tuple[int, bytes]:
         known = self.rack.recall(key, call_id, time.monotonic()) if key else None
         if known is not None:
-            return response(200, known)
+            return 200, known
         self.held += 1
         try:
             async with self.slots:
@@ -195,11 +204,11 @@
         finally:
             self.held -= 1
         if self.rng.random() < self.error_rate:
-            return response(500)
+            return 500, b""
         body = f"{call_id} {mark}".encode()
         if key:
             self.rack.done[key, call_id] = (time.monotonic(), body)
-        return response(200, body)
+        return 200, body
 
     def _warmth(self) -> float:
         life = self.life
--- /dev/null
+++ b/tests/grpcs/test_on_sockets.py
@@ -0,0 +1,388 @@
+"""The front and the transport on loopback sockets, with grpcio on both sides: its HTTP/2 is not ours."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import grpc
+import grpc.aio
+import pytest
+
+from garnethaven.grpcs.front import Front
+from garnethaven.grpcs.transport import GrpcTransport
+from garnethaven.interface import Endpoint, ListKind, State
+from garnethaven.operator import Grpc, GrpcRoute
+from tests.loopback import Sidecar, run, until
+
+UNARY, STREAM, ECHO = "/t.Checks/Unary", "/t.Checks/Stream", "/t.Checks/Echo"
+ROUTES = (
+    GrpcRoute("/t.Checks/", "check", streams=True, keyed=True),
+    GrpcRoute(UNARY, "check", keyed=True),
+    GrpcRoute("/t.Checks/Unsafe", "check"),
+)
+Answer = Callable[[bytes, Any], Awaitable[bytes]]
+
+
+class Server:
+    """A check server on grpcio; `answer` is what its unary methods do."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+        self.calls: list[tuple[str, dict[str, Any]]] = []
+        self.cancelled = 0
+
+    async def start(self) -> Server:
+        self.server = grpc.aio.server()
+        handlers = {
+            "Unary": grpc.unary_unary_rpc_method_handler(self._unary),
+            "Unsafe": grpc.unary_unary_rpc_method_handler(self._unary),
+            "Stream": grpc.unary_stream_rpc_method_handler(self._stream),
+            "Echo": grpc.stream_stream_rpc_method_handler(self._echo),
+        }
+        self.server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler("t.Checks", handlers),))
+        self.port = self.server.add_insecure_port("127.0.0.1:0")
+        await self.server.start()
+        return self
+
+    def _note(self, name: str, context: Any) -> None:
+        told = dict(context.invocation_metadata() or ())
+        self.calls.append((name, told | {"left": context.time_remaining()}))
+
+    async def _unary(self, request: bytes, context: Any) -> bytes:
+        self._note("unary", context)
+        try:
+            return await self.answer(request, context)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def _stream(self, request: bytes, context: Any) -> AsyncIterator[bytes]:
+        self._note("stream", context)
+        for number in range(int(request)):
+            yield b"%d" % number * 100
+        if request == b"3":
+            await context.abort(grpc.StatusCode.DATA_LOSS, "lost 100%")
+
+    async def _echo(self, requests: AsyncIterator[bytes], context: Any) -> AsyncIterator[bytes]:
+        self._note("echo", context)
+        async for request in requests:
+            yield request
+
+
+async def ok(request: bytes, context: Any) -> bytes:
+    context.set_trailing_metadata((("x-made-by", "me"), ("x-bin", b"\x00\xff"), ("x-bin", b"2")))
+    return b"<" + request + b">"
+
+
+def fails(code: grpc.StatusCode, rejected: bool = False) -> Answer:
+    async def answer(request: bytes, context: Any) -> bytes:
+        if rejected:
+            context.set_trailing_metadata((("x-rejected", "1"),))
+        await context.abort(code, "told so")
+        raise AssertionError
+
+    return answer
+
+
+class Stage:
+    def __init__(self, sidecar: Sidecar, servers: list[Server], front: Front, cells: list[int]) -> None:
+        self.sidecar, self.servers, self.front, self.cells = sidecar, servers, front, cells
+        self.channel = grpc.aio.insecure_channel(f"127.0.0.1:{front.port}")
+
+    def list_servers(self, state: State = State.UP, only: int | None = None) -> None:
+        entries = [
+            (
+                Endpoint(n + 1, cell=cell, state=state if only in (None, n) else State.UP),
+                ("127.0.0.1", server.port),
+            )
+            for n, (server, cell) in enumerate(zip(self.servers, self.cells, strict=True))
+        ]
+        self.sidecar.transport.learn(ListKind.FULL, list(entries))
+
+    async def unary(self, request: bytes = b"hi", method: str = UNARY, **words: Any) -> Any:
+        call = self.channel.unary_unary(method)(request, **({"timeout": 10.0} | words))
+        try:
+            return await call, await call.code(), await call.trailing_metadata()
+        except grpc.aio.AioRpcError as error:
+            return error.details(), error.code(), error.trailing_metadata()
+
+    def quiet(self) -> bool:
+        engine = self.sidecar.engine
+        return not engine.calls and not engine.balancer.held
+
+
+@contextlib.asynccontextmanager
+async def stage(*answers: Answer, cells: list[int] | None = None, **settings: Any) -> AsyncIterator[Stage]:
+    servers = [await Server(answer).start() for answer in answers]
+    sidecar = Sidecar([])
+    transport = GrpcTransport(
+        sidecar.engine, sidecar.engine.loop, lambda endpoint: address_of(sidecar, endpoint)
+    )
+    operator = Grpc(listen=("127.0.0.1", 0), routes=ROUTES, **settings)
+    front = await Front(operator, sidecar.engine, transport, sidecar.listener.classes).start(("127.0.0.1", 0))
+    made = Stage(sidecar, servers, front, cells or [0] * len(servers))
+    made.list_servers()
+    try:
+        yield made
+    finally:
+        await made.channel.close()
+        await front.close(0.0)
+        for server in servers:
+            await server.server.stop(0.0)
+        sidecar.listener.drain()
+
+
+def address_of(sidecar: Sidecar, endpoint: int) -> tuple[str, int] | None:
+    target = sidecar.transport.targets.get(endpoint)
+    return target.address if target is not None else None
+
+
+def test_a_unary_call_is_served_with_its_metadata_and_trailers_kept() -> None:
+    async def case() -> None:
+        async with stage(ok) as made:
+            metadata = (("x-call-id", "c1"), ("x-a", "1"), ("x-a", "2"), ("y-bin", b"\x00\x01"))
+            answer, code, trailers = await made.unary(metadata=metadata, timeout=2.0)
+            assert (answer, code) == (b"<hi>", grpc.StatusCode.OK)
+            assert [(key, value) for key, value in trailers] == [
+                ("x-made-by", "me"),
+                ("x-bin", b"\x00\xff"),
+                ("x-bin", b"2"),
+            ]
+            ((_, told),) = made.servers[0].calls
+            assert told["y-bin"] == b"\x00\x01" and told["x-a"] == "2"
+            assert 0.5 < told["left"] < 2.5  # the servers count from when they read it
+            await until(made.quiet)
+
+    run(case())
+
+
+def test_streams_of_all_forms_pass_untouched() -> None:
+    async def case() -> None:
+        async with stage(ok) as made:
+            got = [part async for part in made.channel.unary_stream(STREAM)(b"50", timeout=10.0)]
+            assert got == [b"%d" % number * 100 for number in range(50)]
+            call = made.channel.stream_stream(ECHO)(timeout=10.0)
+            for number in range(20):
+                await call.write(b"%d" % number * 10_000)
+                assert await call.read() == b"%d" % number * 10_000
+            await call.done_writing()
+            assert await call.read() is grpc.aio.EOF
+            assert await call.code() == grpc.StatusCode.OK
+            await until(made.quiet)
+
+    run(case())
+
+
+@pytest.mark.parametrize("code", [code for code in grpc.StatusCode if code is not grpc.StatusCode.OK])
+def test_every_status_ends_in_exactly_one_outcome(code: grpc.StatusCode) -> None:
+    async def case() -> None:
+        async with stage(fails(code)) as made:
+            details, told, _ = await made.unary(method="/t.Checks/Unsafe")
+            name = code.name
+            if name in ("UNAVAILABLE", "RESOURCE_EXHAUSTED"):
+                assert told == grpc.StatusCode.INTERNAL  # it may have run: nothing that clients retry
+            elif name == "DEADLINE_EXCEEDED":
+                assert told in (grpc.StatusCode.DEADLINE_EXCEEDED, grpc.StatusCode.INTERNAL)
+            else:
+                assert (told, details) == (code, "told so")
+            assert len(made.servers[0].calls) == 1  # unsafe: once
+            await until(made.quiet)
+
+    run(case())
+
+
+def test_a_call_that_was_turned_away_is_served_elsewhere() -> None:
+    async def case() -> None:
+        async with stage(fails(grpc.StatusCode.UNAVAILABLE, rejected=True), ok) as made:
+            for number in range(6):
+                _, code, _ = await made.unary(
+                    method="/t.Checks/Unsafe", metadata=(("x-call-id", f"c{number}"),)
+                )
+                assert code == grpc.StatusCode.OK
+            assert made.servers[0].calls and len(made.servers[1].calls) == 6
+
+    run(case())
+
+
+def test_a_keyed_call_that_failed_is_repeated_in_its_rack_and_an_unsafe_one_never() -> None:
+    async def case() -> None:
+        async with stage(fails(grpc.StatusCode.INTERNAL), ok, cells=[0, 0]) as made:
+            for number in range(6):
+                _, code, _ = await made.unary(metadata=(("x-call-id", f"k{number}"),))
+                assert code == grpc.StatusCode.OK
+            codes = [(await made.unary(method="/t.Checks/Unsafe"))[1] for _ in range(12)]
+            assert grpc.StatusCode.INTERNAL in codes
+            met = [told["x-call-id"] for server in made.servers for _, told in server.calls]
+            assert (
+                len([call_id for call_id in met if call_id.startswith("grpc-")]) == 12
+            )  # each unsafe one once
+
+    run(case())
+
+
+def test_with_nobody_there_a_call_is_refused_at_once_and_unrouted_methods_are_unimplemented() -> None:
+    async def case() -> None:
+        async with stage(ok) as made:
+            made.list_servers(State.DRAINING)
+            details, code, _ = await made.unary()
+            assert (code, "harmless" in details) == (grpc.StatusCode.UNAVAILABLE, True)
+            assert not made.servers[0].calls
+            details, code, _ = await made.unary(method="/t.Other/M")
+            assert code == grpc.StatusCode.UNIMPLEMENTED
+            await until(made.quiet)
+
+    run(case())
+
+
+def test_a_stream_that_fails_after_a_part_was_passed_on_keeps_its_status_and_is_not_repeated() -> None:
+    async def case() -> None:
+        async with stage(ok, ok) as made:
+            call = made.channel.unary_stream(STREAM)(b"3", timeout=10.0)
+            got = []
+            with pytest.raises(grpc.aio.AioRpcError) as raised:
+                async for part in call:
+                    got.append(part)
+            assert len(got) == 3
+            assert (raised.value.code(), raised.value.details()) == (grpc.StatusCode.DATA_LOSS, "lost 100%")
+            assert sum(len(server.calls) for server in made.servers) == 1
+            await until(made.quiet)
+
+    run(case())
+
+
+def test_a_time_out_ends_the_call_exactly_once_and_the_server_hears_of_it() -> None:
+    async def case() -> None:
+        async def slow(request: bytes, context: Any) -> bytes:
+            await asyncio.sleep(20)
+            return b""
+
+        async with stage(slow) as made:
+            _, code, _ = await made.unary(timeout=0.3)
+            assert code == grpc.StatusCode.DEADLINE_EXCEEDED
+            await until(lambda: made.quiet() and made.servers[0].cancelled == 1)
+
+    run(case())
+
+
+def test_a_client_that_cancels_leaves_nothing_under_way() -> None:
+    async def case() -> None:
+        started = asyncio.Event()
+
+        async def slow(request: bytes, context: Any) -> bytes:
+            started.set()
+            await asyncio.sleep(20)
+            return b""
+
+        async with stage(slow) as made:
+            call = made.channel.unary_unary(UNARY)(b"x", timeout=15.0)
+            asking = asyncio.ensure_future(call)
+            await started.wait()
+            call.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await asking
+            await until(lambda: made.quiet() and made.servers[0].cancelled == 1)
+            servers = made.sidecar.engine.balancer.servers.values()
+            assert not any(server.errors for server in servers)
+
+    run(case())
+
+
+def test_a_planned_end_lets_calls_finish_and_takes_no_new_ones() -> None:
+    async def case() -> None:
+        go_on = asyncio.Event()
+
+        async def waits(request: bytes, context: Any) -> bytes:
+            await go_on.wait()
+            return b"done"
+
+        async with stage(waits) as made:
+            asking = asyncio.ensure_future(made.unary())
+            await until(lambda: bool(made.servers[0].calls))
+            ending = asyncio.create_task(made.front.close(10.0))
+            await asyncio.sleep(0.2)
+            go_on.set()
+            answer, code, _ = await asking
+            assert (answer, code) == (b"done", grpc.StatusCode.OK)
+            await ending
+
+    run(case())
+
+
+def test_a_server_that_goes_away_gently_is_left_without_a_lost_call() -> None:
+    async def case() -> None:
+        async with stage(ok, ok) as made:
+            assert (await made.unary())[1] == grpc.StatusCode.OK
+            stopping = asyncio.create_task(made.servers[0].server.stop(5.0))  # GOAWAY, then the end
+            for number in range(20):
+                _, code, _ = await made.unary(metadata=(("x-call-id", f"g{number}"),))
+                assert code == grpc.StatusCode.OK
+            await stopping
+
+    run(case())
+
+
+def test_large_messages_pass_within_the_windows() -> None:
+    async def case() -> None:
+        async with stage(ok) as made:
+            body = bytes(range(256)) * 4000  # a megabyte, beyond what is kept for a repeat
+            answer, code, _ = await made.unary(body)
+            assert code == grpc.StatusCode.OK and answer == b"<" + body + b">"
+            await until(made.quiet)
+
+    run(case())
+
+
+def test_a_slow_reader_stalls_neither_its_neighbours_nor_fills_our_memory() -> None:
+    async def case() -> None:
+        async with stage(ok) as made:
+            slow = made.channel.unary_stream(STREAM)(b"20000", timeout=15.0)  # some nine megabytes
+            assert await slow.read() == b"0" * 100
+            for number in range(10):
+                assert (await made.unary(metadata=(("x-call-id", f"n{number}"),)))[1] == grpc.StatusCode.OK
+            held = [stream.sender.waiting for line in made.front.lines for stream in line.streams.values()]
+            assert max(held, default=0) < 512 * 1024
+            slow.cancel()
+            await until(made.quiet)
+
+    run(case())
+
+
+@pytest.mark.parametrize(
+    "hello", [b"GET / HTTP/1.1\r\nHost: t\r\n\r\n", b"\x16\x03\x01\x00\x05hello", b"PRI * HTTP/1.0\r\n\r\n"]
+)
+def test_whoever_speaks_something_else_gets_a_clear_end(hello: bytes) -> None:
+    async def case() -> None:
+        async with stage(ok) as made:
+            reader, writer = await asyncio.open_connection("127.0.0.1", made.front.port)
+            writer.write(hello)
+            assert (await reader.read()).startswith(b"HTTP/1.1 505")
+            writer.close()
+            assert (await made.unary())[1] == grpc.StatusCode.OK
+
+    run(case())
+
+
+def test_duplicate_ids_under_way_are_told_so() -> None:
+    async def case() -> None:
+        go_on = asyncio.Event()
+
+        async def waits(request: bytes, context: Any) -> bytes:
+            await go_on.wait()
+            return b"done"
+
+        async with stage(waits) as made:
+            first = asyncio.ensure_future(made.unary(metadata=(("x-call-id", "same"),)))
+            await until(lambda: bool(made.servers[0].calls))
+            assert (await made.unary(metadata=(("x-call-id", "same"),)))[1] == grpc.StatusCode.ABORTED
+            go_on.set()
+            assert (await first)[1] == grpc.StatusCode.OK
+
+    run(case())
+
+
+def test_off_is_absent() -> None:
+    assert Grpc().listen is None and replace(Grpc(), default="check").routes == ()
--- /dev/null
+++ b/tests/grpcs/test_servers.py
@@ -0,0 +1,200 @@
+"""Scripted servers on raw frames: what resets, GOAWAY and stream limits prove, and what is done then."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import grpc
+import grpc.aio
+import pytest
+from hpack import Encoder
+
+from garnethaven.grpcs.front import Front
+from garnethaven.grpcs.lines import LINES_MOST, WAITING_MOST, Line, Next, choose
+from garnethaven.grpcs.transport import GrpcTransport
+from garnethaven.interface import Endpoint, ListKind
+from garnethaven.operator import Grpc
+from tests.grpcs.raw import DATA, END_HEADERS, END_STREAM, GOAWAY, HEADERS, PREFACE, RST, SETTINGS, frame
+from tests.grpcs.test_on_sockets import ROUTES, UNARY, address_of
+from tests.loopback import Sidecar, run, until
+
+Script = Callable[["RawServer", asyncio.StreamWriter, int], Awaitable[None]]
+
+
+class RawServer:
+    """Answers each stream, once it has ended, as its script says."""
+
+    def __init__(self, script: Script, settings: bytes = b"") -> None:
+        self.script = script
+        self.settings = settings
+        self.streams = self.connections = self.open = self.most_open = 0
+        self.encoders: dict[asyncio.StreamWriter, Encoder] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> RawServer:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.encoders[writer] = Encoder()
+        writer.write(frame(SETTINGS, 0, 0, self.settings))
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readexactly(len(PREFACE))
+            while True:
+                head = await reader.readexactly(9)
+                await reader.readexactly(int.from_bytes(head[:3], "big"))
+                kind, flags, stream = struct.unpack(">BBI", head[3:])
+                if kind == SETTINGS and not flags & 1:
+                    writer.write(frame(SETTINGS, 1, 0))
+                if kind in (HEADERS, DATA) and flags & END_STREAM:
+                    self.streams += 1
+                    task = asyncio.ensure_future(self.script(self, writer, stream))
+                    self.tasks.add(task)
+                    task.add_done_callback(self.tasks.discard)
+        writer.close()
+
+    def answer(self, writer: asyncio.StreamWriter, stream: int, body: bytes = b"ok") -> None:
+        encoder = self.encoders[writer]
+        head = [(":status", "200"), ("content-type", "application/grpc")]
+        writer.write(frame(HEADERS, END_HEADERS, stream, encoder.encode(head)))
+        writer.write(frame(DATA, 0, stream, b"\0" + struct.pack(">I", len(body)) + body))
+        last = encoder.encode([("grpc-status", "0")])
+        writer.write(frame(HEADERS, END_HEADERS | END_STREAM, stream, last))
+
+
+async def well(server: RawServer, writer: asyncio.StreamWriter, stream: int) -> None:
+    server.answer(writer, stream)
+
+
+def resets(code: int) -> Script:
+    async def script(server: RawServer, writer: asyncio.StreamWriter, stream: int) -> None:
+        writer.write(frame(RST, 0, stream, struct.pack(">I", code)))
+
+    return script
+
+
+async def goes_away(server: RawServer, writer: asyncio.StreamWriter, stream: int) -> None:
+    """The first stream of a connection is served, what comes above it never ran."""
+    writer.write(frame(GOAWAY, 0, 0, struct.pack(">II", 1, 0)))
+    if stream == 1:
+        await asyncio.sleep(0.05)
+        server.answer(writer, stream)
+
+
+async def closes(server: RawServer, writer: asyncio.StreamWriter, stream: int) -> None:
+    writer.close()
+
+
+async def slowly(server: RawServer, writer: asyncio.StreamWriter, stream: int) -> None:
+    server.open += 1
+    server.most_open = max(server.most_open, server.open)
+    await asyncio.sleep(0.03)
+    server.open -= 1
+    server.answer(writer, stream)
+
+
+class Stage:
+    def __init__(self, sidecar: Sidecar, servers: list[RawServer], front: Front) -> None:
+        self.sidecar, self.servers, self.front = sidecar, servers, front
+        self.channel = grpc.aio.insecure_channel(f"127.0.0.1:{front.port}")
+
+    async def call(self, method: str = UNARY, timeout: float = 10.0) -> grpc.StatusCode:
+        call = self.channel.unary_unary(method)(b"x", timeout=timeout)
+        with contextlib.suppress(grpc.aio.AioRpcError):
+            await call
+        code: grpc.StatusCode = await call.code()
+        return code
+
+
+@contextlib.asynccontextmanager
+async def stage(*scripts: Script, settings: bytes = b"") -> AsyncIterator[Stage]:
+    servers = [await RawServer(script, settings).start() for script in scripts]
+    sidecar = Sidecar([])
+    transport = GrpcTransport(sidecar.engine, sidecar.engine.loop, lambda n: address_of(sidecar, n))
+    front = Front(Grpc(routes=ROUTES), sidecar.engine, transport, sidecar.listener.classes)
+    await front.start(("127.0.0.1", 0))
+    entries: list[Any] = [(Endpoint(n + 1), ("127.0.0.1", one.port)) for n, one in enumerate(servers)]
+    sidecar.transport.learn(ListKind.FULL, entries)
+    made = Stage(sidecar, servers, front)
+    try:
+        yield made
+    finally:
+        await made.channel.close()
+        await front.close(0.0)
+        for server in servers:
+            server.server.close()
+        sidecar.listener.drain()
+
+
+def test_a_refused_stream_never_ran_and_goes_elsewhere_also_for_an_unsafe_call() -> None:
+    async def case() -> None:
+        async with stage(resets(7), well) as made:
+            for _ in range(6):
+                assert await made.call("/t.Checks/Unsafe") is grpc.StatusCode.OK
+            assert made.servers[0].streams > 0
+
+    run(case())
+
+
+@pytest.mark.parametrize("script", [resets(2), resets(8), closes])
+def test_any_other_end_may_have_run_and_an_unsafe_call_is_not_repeated(script: Script) -> None:
+    async def case() -> None:
+        async with stage(script) as made:
+            assert await made.call("/t.Checks/Unsafe") is grpc.StatusCode.INTERNAL
+            assert made.servers[0].streams == 1
+
+    run(case())
+
+
+def test_goaway_proves_what_never_ran_and_lets_the_rest_finish() -> None:
+    async def case() -> None:
+        async with stage(goes_away, well) as made:
+            codes = await asyncio.gather(*(made.call("/t.Checks/Unsafe") for _ in range(12)))
+            assert set(codes) == {grpc.StatusCode.OK}
+
+    run(case())
+
+
+@pytest.mark.parametrize("most", [1, 3])
+def test_a_servers_stream_limit_is_kept_over_all_connections(most: int) -> None:
+    async def case() -> None:
+        async with stage(slowly, settings=struct.pack(">HI", 3, most)) as made:
+            assert await made.call() is grpc.StatusCode.OK  # from here on its limit is known
+            codes = await asyncio.gather(*(made.call() for _ in range(20)))
+            served = codes.count(grpc.StatusCode.OK)
+            assert served >= 4 * most
+            assert made.servers[0].most_open <= LINES_MOST * most
+            assert made.servers[0].connections <= LINES_MOST
+
+    run(case())
+
+
+def test_a_server_that_allows_no_streams_is_given_none() -> None:
+    async def case() -> None:
+        async with stage(well, well, settings=struct.pack(">HI", 3, 0)) as made:
+            await made.call(timeout=1.0)  # sent before the limit was known, at the most
+            before = [server.streams for server in made.servers]
+            for _ in range(4):
+                code = await made.call(timeout=1.0)
+                assert code in (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.OK)
+            assert sum(server.connections for server in made.servers) <= 2 * LINES_MOST
+            await until(lambda: not made.sidecar.engine.calls)
+            assert sum(server.streams for server in made.servers) <= sum(before) + 2
+
+    run(case())
+
+
+def test_which_connection_carries_the_next_stream() -> None:
+    assert choose([], False, 0) is Next.OPEN
+    assert choose([], True, 3) is Next.WAIT
+    assert choose([Line(1, 10), Line(5, 10), Line(10, 10)], False, 0) == 1
+    assert choose([Line(5, 10, takes=False)], False, 0) is Next.OPEN
+    assert choose([Line(1, 1)] * LINES_MOST, False, 0) is Next.WAIT
+    assert choose([Line(1, 1)] * LINES_MOST, False, WAITING_MOST) is Next.GIVE_BACK
+    assert choose([Line(0, 0)], False, 0) is Next.GIVE_BACK
--- /dev/null
+++ b/tests/grpcs/test_settings.py
@@ -0,0 +1,141 @@
+"""The operator's table, checked strictly; off means absent; reload, TLS, and the program through its rig."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import grpc
+import grpc.aio
+import pytest
+import trustme
+
+from garnethaven.engine.classes import Classes
+from garnethaven.grpcs.front import Front
+from garnethaven.grpcs.transport import GrpcTransport
+from garnethaven.operator import Grpc, GrpcRoute, OperatorError, read_operator
+from tests.grpcs.raw import PREFACE, SETTINGS, frame
+from tests.grpcs.test_on_sockets import ROUTES, UNARY, address_of, ok, stage
+from tests.loopback import ANSWER, run, running, says
+from tests.rigs.test_rigs import play
+
+ROOT = Path(__file__).parent.parent.parent
+LOADED = (
+    "import sys, garnethaven.__main__; "
+    "print([name for name in sys.modules if name.partition('.')[0] in ('h2', 'hpack') "
+    "or name.startswith('garnethaven.grpcs')])"
+)
+
+
+def test_nothing_of_it_is_imported_where_it_is_off() -> None:
+    told = subprocess.run([sys.executable, "-c", LOADED], cwd=ROOT, capture_output=True, text=True)
+    assert told.stdout.strip() == "[]", told.stderr
+
+
+def test_the_example_is_good() -> None:
+    told = read_operator(str(ROOT / "deploy" / "examples" / "grpc.toml")).grpc
+    assert told.listen == ("127.0.0.1", 9903)
+    assert told.routes[0] == GrpcRoute("/checks.v1.Checks/", "check", keyed=True)
+    assert told.routes[1].streams
+
+
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ('listen = "here"', "listen"),
+        ("port_offset = 1.5", "port_offset"),
+        ("port_offset = 99999", "port_offset"),
+        ("default = 1", "default"),
+        ("stream_most_s = 0", "stream_most_s"),
+        ("routes = 1", "routes"),
+        ('routes = [{path = "/a"}]', "routes"),
+        ('routes = [{path = "a", class = "c"}]', "routes"),
+        ('routes = [{path = "/a", class = "c", streams = 1}]', "routes"),
+        ('routes = [{path = "/a", class = "c", retry = true}]', "routes"),
+        ("cert = 1", "cert"),
+        ("port = 1", "port"),
+    ],
+)
+def test_a_bad_field_is_named_with_its_line(line: str, field: str, tmp_path: Path) -> None:
+    path = tmp_path / "o.toml"
+    path.write_text(f"[grpc]\n{line}\n")
+    with pytest.raises(OperatorError, match=f"line 2: 'grpc.{field}'"):
+        read_operator(str(path))
+
+
+def test_routes_are_taken_over_and_what_else_changed_is_said_to_wait() -> None:
+    async def case() -> None:
+        async with stage(ok) as made:
+            before = made.front.operator
+            assert made.front.renew(replace(before, routes=()))
+            assert (await made.unary())[1] == grpc.StatusCode.UNIMPLEMENTED
+            assert made.front.renew(replace(before, routes=(), default="check"))
+            assert (await made.unary())[1] == grpc.StatusCode.OK
+            assert made.front.renew(before)
+            assert not made.front.renew(replace(before, port_offset=5))
+            assert made.front.operator.port_offset == before.port_offset
+
+    run(case())
+
+
+def test_over_tls_both_ways(tmp_path: Path) -> None:
+    async def case() -> None:
+        authority = trustme.CA()
+        its = authority.issue_cert("127.0.0.1")
+        its.private_key_pem.write_to_path(str(tmp_path / "key.pem"))
+        its.cert_chain_pems[0].write_to_path(str(tmp_path / "cert.pem"))
+        async with stage(ok) as made:
+            operator = Grpc(routes=ROUTES, cert=str(tmp_path / "cert.pem"), key=str(tmp_path / "key.pem"))
+            engine = made.sidecar.engine
+            context = ssl.create_default_context()
+            authority.configure_trust(context)
+            context.set_alpn_protocols(["h2"])
+            inner = Front(operator, engine, made.front.transport, made.sidecar.listener.classes)
+            await inner.start(("127.0.0.1", 0))
+            # A second front asks the first over TLS, as a server that wants it.
+            outer_transport = GrpcTransport(
+                engine, engine.loop, lambda endpoint: ("127.0.0.1", inner.port), context
+            )
+            classes: Classes = made.sidecar.listener.classes
+            outer = await Front(Grpc(routes=ROUTES), engine, outer_transport, classes).start(("127.0.0.1", 0))
+            credentials = grpc.ssl_channel_credentials(authority.cert_pem.bytes())
+            async with grpc.aio.secure_channel(f"127.0.0.1:{inner.port}", credentials) as channel:
+                assert await channel.unary_unary(UNARY)(b"hi", timeout=10.0) == b"<hi>"
+            async with grpc.aio.insecure_channel(f"127.0.0.1:{outer.port}") as channel:
+                metadata = (("x-call-id", "outer"),)
+                call = channel.unary_unary(UNARY)(b"hi", timeout=10.0, metadata=metadata)
+                # One engine knows the id as under way already: the inner front says so, through TLS.
+                with pytest.raises(grpc.aio.AioRpcError) as raised:
+                    await call
+                assert raised.value.code() == grpc.StatusCode.ABORTED
+            await outer.close(0.0)
+            await inner.close(0.0)
+            assert address_of(made.sidecar, 1) is not None
+
+    run(case())
+
+
+def test_grpc_at_the_http_front_gets_a_clear_answer() -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            reader, writer = await sidecar.connect()
+            writer.write(PREFACE + frame(SETTINGS, 0, 0))
+            told = await asyncio.wait_for(reader.read(200), 10.0)
+            assert told.startswith(b"HTTP/1.1 400")
+            writer.close()
+
+    run(case())
+
+
+def test_the_rig_in_short_gives_both_protocols_the_same_outcomes() -> None:
+    code, figures, said = play("grpc", "--seed", "4", "--seconds", "8")
+    assert code in (0, 1), said
+    assert figures["sent"] > 800, said
+    assert figures["broken"] == {"lost": 0, "twice": 0, "drain": 0, "cold": 0}, (said, figures)
+    assert figures["missing"] == figures["doubled"] == figures["mapping_mismatches"] == 0, figures
+    assert figures["trailers_changed"] == 0
+    assert figures["http1"]["served"] > 300 < figures["grpc"]["served"]
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -25,6 +25,7 @@
     Settings,
     Started,
     State,
+    StreamBegan,
     Tenant,
     TimerFired,
     Watch,
@@ -400,6 +401,36 @@
     assert [driver.target() for _ in range(5)] == [3] * 5
 
 
+def test_a_stream_that_has_begun_is_not_blamed_for_lasting() -> None:
+    for begins, blamed in ((True, 0.0), (False, 1.0)):
+        driver = Driver(fleet(1))
+        actions = driver.ask()
+        (send,) = sends(actions)
+        if begins:
+            driver.feed(StreamBegan(send.id, 0))
+        for timer in of(actions, SetTimer):
+            driver.feed(TimerFired(timer.token), after=S)
+        assert driver.balancer.servers[1].errors == blamed
+
+
+def test_streams_that_last_are_no_queue_and_their_length_tells_nothing() -> None:
+    driver = Driver(fleet(4))
+    for _ in range(100):
+        driver.serve()
+    overload = driver.balancer.overload
+    before = (overload.ease, overload.refused_share, dict(driver.balancer.usual))
+    streams = []
+    for _ in range(200):
+        (send,) = sends(driver.ask(after=MS))
+        driver.feed(StreamBegan(send.id, 0))
+        streams.append(send)
+    assert not of(driver.ask(after=MS), Refuse)
+    for send in streams:
+        driver.end(send, Outcome.DONE, after=100 * MS)
+    assert (overload.ease, overload.refused_share, driver.balancer.usual) == before
+    assert driver.balancer.lasting == 0
+
+
 def test_a_lost_try_is_not_repeated_at_a_server_that_has_gone_since() -> None:
     driver = Driver(fleet(1))
     (send,) = sends(driver.ask(grade=2))
