Give many servers their turns by a tree, and let a change touch its own server only

A decision walked all servers: 178 us at 5,000, and each change of the list weighed all of them anew, 2.2 ms.

Change. turns.py: smooth weighted round-robin as a tree of eight children to a node, each node taking turns among its children by the weights below them. The decision module uses it beyond 64 servers; up to that all stays as it was. A change, an error or an answer touches its own path; cold servers and those with errors are looked at as often as before; a retry chooses among 16 that are drawn, and walks all only where none of those will do.

A share of the fleet for each instance is not built yet.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -11,6 +11,7 @@
 
 import math
 import random
+from bisect import bisect_left
 from zlib import crc32
 
 from garnethaven.interface import (
@@ -43,6 +44,7 @@
     Watch,
 )
 from garnethaven.limits.overload import Overload
+from garnethaven.turns import Turns
 
 BETA = 0.8  # share of weight lost by each consecutive error; a sidecar sees too few for the paper's 0.1
 DENSE_BETA = 0.3  # the same where it sees many: one error in a burst must not empty a server
@@ -53,6 +55,10 @@
 KEY_SLACK = 0.8  # share of a full round by which a key's server may be ahead of its turn
 HOME_SPARE = 1.3  # a zone carries its part while it keeps this inverse share of its capacity
 SIDECARS_PER_ZONE = 8  # in a smaller fleet some zones have more sidecars than their part, or none
+MANY = 64  # servers from which on turns are a tree's, and a change touches its own path only
+MANY_REFRESHES = 2  # of all their weights in a ramp: what concerns all of them moves slowly
+SPARE_SEATS = 8  # one seat in so many is left for newcomers
+DRAWN = 16  # servers that a retry chooses from among many
 SHARE_BURST = 4.0  # requests that a tenant may be ahead of its share
 COPY_SHARE = 0.05  # second copies for each request, at the most
 COPY_BURST = 5.0  # copies that may be saved up
@@ -162,6 +168,21 @@
         self.bound = False  # a stream has begun: the attempt is the client's
 
 
+class Many:
+    """The seats of many servers, where their turns are a tree's; empty while there are few."""
+
+    __slots__ = ("by_seat", "free", "look_at", "moving", "seats", "touched", "turns")
+
+    def __init__(self) -> None:
+        self.turns: Turns | None = None
+        self.by_seat: list[Server | None] = []
+        self.seats: dict[int, int] = {}
+        self.free: list[int] = []
+        self.touched: dict[int, Server] = {}  # whose weight is to be made anew
+        self.moving: list[Server] = []  # whose weight changes by itself: cold ones and those with errors
+        self.look_at = 0  # when the moving ones are looked at
+
+
 class Balancer:
     """One instance: feed it events through handle() and carry out the actions in order."""
 
@@ -175,6 +196,8 @@
         self.ring: list[Server] = []  # those that take turns
         self.waiting: list[Server] = []  # those that earn their first turn
         self.stale_at = 0  # when weights want recomputing
+        self.kept, self.typical, self.total, self.away_factor = 1.0, 1.0, 1.0, 1.0  # at the last of these
+        self.many = Many()
         self.failed_calls = 0
         # The paper's 10 minutes outlast a failure by far: servers get as long as a restarted one to warm.
         self.half_life = max(1, settings.ramp_time)
@@ -237,6 +260,11 @@
             return
         if event.kind is not ListKind.PERSISTED:
             self.failed_calls = 0
+        if event.kind is ListKind.DELTA and self.many.turns is not None and len(event.endpoints) < MANY:
+            for entry in event.endpoints:
+                self._learn(entry)
+                self._reseat(entry.id)
+            return
         if event.kind is not ListKind.DELTA:
             listed = {entry.id for entry in event.endpoints}
             for gone in [known for known in self.servers if known not in listed]:
@@ -267,12 +295,19 @@
     def _record_failure(self, server: Server) -> None:
         server.errors = self._decayed(server) + 1.0
         server.error_at = self.now
-        self.stale_at = self.now
+        self._changed(server)
 
     def _record_success(self, server: Server) -> None:
         if server.errors:
             server.errors = 0.0
+            self._changed(server)
+
+    def _changed(self, server: Server) -> None:
+        """A server's weight is to be made anew before the next pick; among many the others keep theirs."""
+        if self.many.turns is None:
             self.stale_at = self.now
+        else:
+            self.many.touched[server.id] = server
 
     def _decayed(self, server: Server) -> float:
         if not server.errors:
@@ -303,34 +338,154 @@
         return SECOND / gap / len(self.pool) if gap and self.pool else 0.0
 
     def _reweigh(self) -> None:
-        moving, kept = False, 1.0 - self._beta()
-        for server in self.pool:
+        moving, self.kept = False, 1.0 - self._beta()
+        kept = self.kept
+        for server in self.pool:  # as `_feel` does, without a call for each
             server.size = server.units / self.pace.get(server.kind, 1.0) / self._own_pace(server)
             server.health = max(FLOOR, kept ** self._decayed(server))
             moving = moving or server.errors > 0.0
-        typical = sum(server.health for server in self.pool) / max(1, len(self.pool))
+        self.typical = sum(server.health for server in self.pool) / max(1, len(self.pool))
         for server in self.pool:
-            warmth, health = self._warmth(server), server.health
+            warmth = self._warmth(server)
             if warmth < 1.0:
-                # A newcomer is no healthier than its peers: in a jam all of them are penalised, and its
-                # clean count would bring it many times its part.
-                health = min(health, typical)
-                moving = True
-                # It also remembers no keys and has all its connections to set up, so what costs its
-                # peers little costs it the whole: half a part at the start, a full one when warm.
-                warmth *= (1.0 + warmth) / 2.0
-            server.weight = server.size * health * warmth
+                server.weight, moving = self._cold_weight(server, warmth), True
+            else:
+                server.weight = server.size * server.health
         self._favour_home()
         # Weights are shares of the whole and tallies count in rounds: were the sum to shrink, as when all
         # are penalised in a jam, old tallies would outweigh it, and a newcomer placed near the largest
         # would be picked again and again.
-        total = sum(server.weight for server in self.pool) or 1.0
+        self.total = sum(server.weight for server in self.pool) or 1.0
         for server in self.pool:
-            server.weight /= total
-        self._seat()
-        refreshes = REFRESHES if moving else QUIET_REFRESHES
+            server.weight /= self.total
+        if len(self.pool) > MANY:
+            self._seat_many()
+            refreshes = MANY_REFRESHES  # those that move are looked at between
+        else:
+            self.many.turns = None
+            self._seat()
+            refreshes = REFRESHES if moving else QUIET_REFRESHES
         self.stale_at = self.now + max(1, self.settings.ramp_time // refreshes)
 
+    def _feel(self, server: Server) -> None:
+        """Bring a server's size and health up to date."""
+        server.size = server.units / self.pace.get(server.kind, 1.0) / self._own_pace(server)
+        server.health = max(FLOOR, self.kept ** self._decayed(server))
+
+    def _cold_weight(self, server: Server, warmth: float) -> float:
+        """What a server weighs that is not warm yet."""
+        # A newcomer is no healthier than its peers: in a jam all of them are penalised, and its clean count
+        # would bring it many times its part.
+        health = min(server.health, self.typical)
+        # It also remembers no keys and has all its connections to set up, so what costs its peers little
+        # costs it the whole: half a part at the start, a full one when warm.
+        return server.size * health * warmth * (1.0 + warmth) / 2.0
+
+    # Many servers: turns as a tree (turns.py), where a change touches its own path only
+
+    def _seat_many(self) -> None:
+        """Give every server its seat and its weight there."""
+        if self.many.turns is None or len(self.pool) > len(self.many.by_seat):
+            self.many.turns = Turns(len(self.pool) + len(self.pool) // SPARE_SEATS)
+            self.many.turns.shuffle(self.rng)
+            self.many.by_seat = [None] * self.many.turns.levels[0]
+            self.many.free = list(range(len(self.many.by_seat) - 1, -1, -1))
+            self.many.seats.clear()
+            for server in self.pool:
+                server.seated = True  # its turn is within the round that begins
+        here = {server.id for server in self.pool}
+        for gone in [known for known in self.many.seats if known not in here]:
+            self._unseat(gone)
+        for server in self.pool:
+            self._take_seat(server)
+        self.many.turns.set_weights(
+            [server.weight if server is not None else 0.0 for server in self.many.by_seat]
+        )
+        self.many.moving = [s for s in self.pool if s.errors > 0.0 or self._warmth(s) < 1.0]
+        self.many.touched.clear()
+        self.many.look_at = self.now + max(1, self.settings.ramp_time // REFRESHES)
+
+    def _take_seat(self, server: Server) -> None:
+        assert self.many.turns is not None
+        seat = self.many.seats.get(server.id)
+        if seat is None:
+            seat = self.many.seats[server.id] = self.many.free.pop()
+        self.many.by_seat[seat] = server
+        if not server.seated:  # a newcomer earns its first turn, as in a small pool
+            server.seated = True
+            self.many.turns.set_tally(seat, -self.rng.random())
+
+    def _unseat(self, endpoint: int) -> None:
+        seat = self.many.seats.pop(endpoint, None)
+        if seat is not None and self.many.turns is not None:
+            self.many.by_seat[seat] = None
+            self.many.free.append(seat)
+            self.many.turns.set_weight(seat, 0.0)
+
+    def _reseat(self, endpoint: int) -> None:
+        """A server of many has come, gone or changed: the others stay as they are."""
+        server = self.servers.get(endpoint)
+        at = bisect_left(self.pool, endpoint, key=lambda one: one.id)
+        there = at < len(self.pool) and self.pool[at].id == endpoint
+        if server is None or server.state is not State.UP:
+            if there:
+                del self.pool[at]
+            self._unseat(endpoint)
+            self.many.touched.pop(endpoint, None)
+            if len(self.pool) <= MANY // 2:
+                self.stale_at = self.now  # few enough for the plain walk
+            return
+        if there:
+            self.pool[at] = server
+        else:
+            self.pool.insert(at, server)
+        if endpoint not in self.many.seats and not self.many.free:
+            self._reweigh()  # no seat is left: all are seated anew
+            return
+        self._take_seat(server)
+        self.many.touched[endpoint] = server
+        if self._warmth(server) < 1.0:
+            self.many.moving.append(server)
+
+    def _reweigh_some(self) -> None:
+        """Bring those up to date that changed, and now and then those that move by themselves."""
+        assert self.many.turns is not None
+        changed, self.many.touched = self.many.touched, {}
+        if self.now >= self.many.look_at:
+            self.many.look_at = self.now + max(1, self.settings.ramp_time // REFRESHES)
+            self.many.moving = [s for s in self.many.moving if s.errors > 0.0 or self._warmth(s) < 1.0]
+            changed |= {server.id: server for server in self.many.moving}
+        for endpoint, server in changed.items():
+            seat = self.many.seats.get(endpoint)
+            if seat is None or self.many.by_seat[seat] is not server:
+                continue  # gone since, or another life of it is there
+            self._feel(server)
+            warmth = self._warmth(server)
+            weight = server.size * server.health if warmth >= 1.0 else self._cold_weight(server, warmth)
+            away = server.zone != self.settings.zone
+            server.weight = weight * (self.away_factor if away else 1.0) / self.total
+            self.many.turns.set_weight(seat, server.weight)
+            if server.errors > 0.0 and server not in self.many.moving[-MANY:]:
+                self.many.moving.append(server)
+
+    def _pick_of_many(self, held: Held) -> Server | None:
+        assert self.many.turns is not None
+        if self.many.touched or self.now >= self.many.look_at:
+            self._reweigh_some()
+        keyed = bool(held.key) and self.settings.warm_keys
+        mark = crc32(held.key.encode()) if keyed else None
+        seat = self.many.turns.pick(mark, KEY_SLACK, self._seat_is_warm)
+        return self.many.by_seat[seat] if seat is not None else None
+
+    def _seat_is_warm(self, seat: int) -> bool:
+        server = self.many.by_seat[seat]
+        return server is not None and self._warmth(server) >= 1.0
+
+    def _some_of_many(self, held: Held) -> list[Server]:
+        """Servers for a retry, drawn: the best of so many is good enough, and all of them are a long walk."""
+        drawn = [self.pool[self.rng.randrange(len(self.pool))] for _ in range(DRAWN)]
+        return [server for server in drawn if self._may_send(held, server)]
+
     def _seat(self) -> None:
         """Sort the weighed servers into those that take turns and those that wait for their first.
 
@@ -363,16 +518,17 @@
         away = sum(server.weight for server in self.pool) - at_home
         due = sum(server.size for server in self.pool) / zones  # an even zone's part
         kept = min(1.0, HOME_SPARE * at_home / due)
+        self.away_factor = 1.0
         if not at_home or not away:
             return
         # An even zone's part holds where sidecars are spread over all zones. Two sidecars that kept to their
         # homes gave half of all traffic to a sixth of the servers, while zones with no sidecar idled.
         spread = min(1.0, self.settings.fleet_size / (SIDECARS_PER_ZONE * zones))
         kept = spread * kept + (1.0 - spread) * at_home / (at_home + away)
-        factor = min(1.0, (1.0 - kept) / kept * at_home / away)
+        self.away_factor = min(1.0, (1.0 - kept) / kept * at_home / away)
         for server in self.pool:
             if server.zone != self.settings.zone:
-                server.weight *= factor
+                server.weight *= self.away_factor
 
     # Pick
 
@@ -380,6 +536,8 @@
         """The ordinary path: smooth weighted round-robin over the selectable servers."""
         if self.now >= self.stale_at:
             self._reweigh()
+        if self.many.turns is not None:
+            return self._pick_of_many(held)
         best: Server | None = None
         for server in self.ring:
             server.tally += server.weight
@@ -418,6 +576,9 @@
 
     def _charge(self, chosen: Server) -> None:
         """Book a turn taken out of order, so that its server does not get its own turn as well."""
+        if self.many.turns is not None:
+            self.many.turns.charge(self.many.seats[chosen.id])
+            return
         for server in self.ring:
             server.tally += server.weight
         chosen.tally -= 1.0
@@ -427,7 +588,9 @@
         if self.now >= self.stale_at:
             self._reweigh()
         tried = {attempt.server.id for attempt in held.attempts}
-        options = [s for s in self.pool if s.id not in tried and self._may_send(held, s)]
+        drawn = self._some_of_many(held) if self.many.turns is not None else []
+        options = [s for s in drawn if s.id not in tried and self._warmth(s) >= 1.0]
+        options = options or [s for s in self.pool if s.id not in tried and self._may_send(held, s)]
         # A cold server has no errors yet: were it the healthiest, all sidecars' retries would push it over.
         # Nor is it a last resort: a cell whose others stop at once would send it all they held.
         if any(self._warmth(s) >= 1.0 for s in self.pool):
--- /dev/null
+++ b/tests/test_many.py
@@ -0,0 +1,165 @@
+"""The decision module with many servers: the same rules, by turns that are a tree's."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from garnethaven.brain import FLOOR, MANY
+from garnethaven.interface import Endpoint, Fail, ListKind, Membership, Outcome, Refuse, State
+from tests.helpers import MS, SETTINGS, Driver, S, fleet, of, sends
+
+
+def many(count: int = 300, seed: int = 7, **changes: object) -> Driver:
+    return Driver(fleet(count), replace(SETTINGS, **changes), seed)  # type: ignore[arg-type]
+
+
+def test_many_servers_take_turns_in_a_tree_and_a_few_in_the_ring() -> None:
+    driver = many(MANY + 1)
+    assert driver.balancer.many.turns is not None
+    driver.feed(Membership(ListKind.DELTA, (Endpoint(1, state=State.REMOVED),)))
+    driver.feed(Membership(ListKind.FULL, fleet(MANY)))
+    assert driver.balancer.many.turns is None
+    assert len({driver.target() for _ in range(MANY)}) >= MANY - 8
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_every_server_gets_its_share(seed: int) -> None:
+    driver = many(200, seed)
+    counts: Counter[int] = Counter()
+    for _ in range(2000):
+        (send,) = sends(driver.ask(after=MS))
+        counts[send.endpoint] += 1
+        driver.end(send, Outcome.DONE, after=0)
+    assert len(counts) == 200
+    assert min(counts.values()) >= 7 and max(counts.values()) <= 13
+
+
+def test_sizes_are_followed() -> None:
+    servers = tuple(Endpoint(n, units=4.0 if n % 10 == 0 else 1.0) for n in range(1, 201))
+    driver = Driver(servers)
+    counts: Counter[bool] = Counter()
+    for _ in range(2600):
+        (send,) = sends(driver.ask(after=MS))
+        counts[send.endpoint % 10 == 0] += 1
+        driver.end(send, Outcome.DONE, after=0)
+    assert counts[True] / 20 == pytest.approx(4 * counts[False] / 180, rel=0.15)
+
+
+def test_equal_seeds_and_events_give_equal_targets_and_others_do_not_walk_in_lockstep() -> None:
+    one, other, third = many(150, 3), many(150, 3), many(150, 4)
+    targets = [[driver.target(after=MS) for _ in range(300)] for driver in (one, other, third)]
+    assert targets[0] == targets[1]
+    assert sum(a == b for a, b in zip(targets[0], targets[2], strict=True)) < 60
+
+
+def test_a_server_that_fails_keeps_its_floor_and_comes_back() -> None:
+    driver = many(100)
+    balancer = driver.balancer
+    for _ in range(600):
+        (send,) = sends(driver.ask(after=MS))
+        driver.end(send, Outcome.ERROR if send.endpoint == 5 else Outcome.DONE, after=0)
+    seat = balancer.many.seats[5]
+    assert balancer.many.turns is not None
+    held_down = balancer.many.turns.weight(seat)
+    usual = balancer.many.turns.weight(balancer.many.seats[6])
+    assert FLOOR * usual * 0.9 <= held_down < 0.7 * usual
+    driver.now += 200 * S
+    driver.target()
+    assert balancer.many.turns.weight(balancer.many.seats[5]) > 0.95 * balancer.many.turns.weight(
+        balancer.many.seats[6]
+    )
+
+
+def test_a_change_touches_its_own_server_only() -> None:
+    driver = many(2000)
+    driver.target()
+    balancer = driver.balancer
+    full = []
+    balancer._reweigh = lambda: full.append(1)  # type: ignore[method-assign]
+    for number in range(1, 40):
+        driver.feed(Membership(ListKind.DELTA, (Endpoint(number, state=State.REMOVED),)), after=0)
+        driver.target(after=0)
+        driver.feed(
+            Membership(ListKind.DELTA, (Endpoint(number, cell=number // 2, started=driver.now),)), after=0
+        )
+        driver.target(after=0)
+    assert not full
+    assert len(balancer.pool) == 2000 and [one.id for one in balancer.pool] == list(range(1, 2001))
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_under_churn_nothing_goes_to_a_server_that_is_gone_or_drains(seed: int) -> None:
+    rng = random.Random(seed)
+    driver = many(120, seed)
+    up = set(range(1, 121))
+    for step in range(1500):
+        if rng.random() < 0.2:
+            number = rng.randrange(1, 200)
+            state = rng.choice((State.UP, State.DRAINING, State.REMOVED))
+            driver.feed(
+                Membership(ListKind.DELTA, (Endpoint(number, cell=number // 2, state=state),)), after=0
+            )
+            (up.add if state is State.UP else up.discard)(number)
+        if step % 400 == 399:
+            driver.feed(
+                Membership(ListKind.FULL, tuple(Endpoint(n, cell=n // 2) for n in sorted(up))), after=0
+            )
+        (send,) = sends(driver.ask(grade=step % 4, after=MS))
+        assert send.endpoint in up, (seed, step)
+        outcome = rng.choice((Outcome.DONE, Outcome.DONE, Outcome.DONE, Outcome.RESET, Outcome.BUSY))
+        for again in sends(driver.end(send, outcome, after=0)):
+            assert again.endpoint in up, (seed, step)
+            driver.end(again, Outcome.DONE, after=0, attempt=1)
+    balancer = driver.balancer
+    assert sorted(balancer.many.seats) == sorted(up)
+    assert len(balancer.many.free) + len(balancer.many.seats) == len(balancer.many.by_seat)
+
+
+def test_a_cold_quarter_gets_no_more_than_its_warmth() -> None:
+    driver = many(200)
+    for number in range(1, 51):
+        driver.feed(Membership(ListKind.DELTA, (Endpoint(number, state=State.REMOVED),)), after=0)
+    returned = tuple(Endpoint(n, cell=n // 2, started=driver.now) for n in range(1, 51))
+    driver.feed(Membership(ListKind.DELTA, returned), after=0)
+    counts: Counter[bool] = Counter()
+    for _ in range(3000):  # within the first second of ten
+        (send,) = sends(driver.ask(after=MS // 3))
+        counts[send.endpoint <= 50] += 1
+        driver.end(send, Outcome.DONE, after=0)
+    assert counts[True] / 50 <= 0.5 * counts[False] / 150
+
+
+def test_retries_go_to_warm_servers_not_tried_and_a_keyed_one_stays_in_its_rack() -> None:
+    driver = many(200)
+    for _ in range(50):
+        (send,) = sends(driver.ask(grade=2))
+        retries = sends(driver.end(send, Outcome.RESET))
+        assert retries and all((one.endpoint - 1) // 2 == (send.endpoint - 1) // 2 for one in retries)
+        (send,) = sends(driver.ask(grade=1))
+        assert len(of(driver.end(send, Outcome.RESET), Fail)) == 1
+
+
+def test_with_all_gone_requests_are_refused_and_served_when_they_return() -> None:
+    driver = many(100)
+    gone = tuple(replace(one, state=State.REMOVED) for one in fleet(100))
+    for number in range(0, 100, 50):
+        driver.feed(Membership(ListKind.DELTA, gone[number : number + 50]))
+    assert of(driver.ask(), Refuse)
+    driver.feed(Membership(ListKind.FULL, fleet(100)))
+    assert sends(driver.ask())
+
+
+def test_a_key_goes_to_few_of_many_servers() -> None:
+    driver = many(256, warm_keys=True)
+    keyed: Counter[int] = Counter()
+    for number in range(2000):
+        key = "the-key" if number % 10 == 0 else f"k{number}"
+        (send,) = sends(driver.ask(after=MS, key=key))
+        if number % 10 == 0:
+            keyed[send.endpoint] += 1
+        driver.end(send, Outcome.DONE, after=0)
+    assert max(keyed.values()) >= 8  # 200 requests over 256 servers: less than one each by turns alone
