Count a stream as answered when it begins, and test more of gRPC's hard cases

Since streams stopped counting by their length, traffic of streams alone left the module without any answer to learn a pace from, and new calls were refused beside a handful that had not begun yet (seen in the benchmark).

That a stream begins is the answer whose pace refusals go by. Tests: a stream that is turned away before its request is whole, a planned end with a long stream open, a time-out while a window is waited for. The rig tells the program's peak of memory, the benchmark the memory with 200 readers that stop reading.

--- a/benchmarks/grpcs.py
+++ b/benchmarks/grpcs.py
@@ -38,6 +38,7 @@
 KINDS = ("relay", "h2", "program")
 ROUNDS = 3
 WORKERS = 32
+SLOW = 200
 UNARY, STREAM, ECHO = "/b.B/Unary", "/b.B/Stream", "/b.B/Echo"
 MESSAGE = b"x" * 16_000
 
@@ -236,6 +237,7 @@
                 flush=True,
             )
         await hold(ports["program"], ends["program"][1], held)
+        await slow_readers(ports["program"], ends["program"][1])
     await server.stop(0.0)
 
 
@@ -253,6 +255,21 @@
         await channel.close()
 
 
+async def slow_readers(port: int, pid: int) -> None:
+    """Memory with readers that take one message of sixteen megabytes each, and then nothing."""
+    before = memory_mb(pid)
+    own = [("grpc.use_local_subchannel_pool", 1)]
+    channels = [grpc.aio.insecure_channel(f"127.0.0.1:{port}", options=own) for _ in range(SLOW // 50)]
+    calls = []
+    for number in range(SLOW):
+        calls.append(channels[number % len(channels)].unary_stream(STREAM)(b"1000", timeout=60.0))
+        await calls[-1].read()
+    await asyncio.sleep(2.0)
+    print(f"{SLOW} slow readers: {before:.1f} to {memory_mb(pid):.1f} MB", flush=True)
+    for channel in channels:
+        await channel.close()
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--calls", type=int, default=2000)
--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -784,6 +784,9 @@
             held.bound = True
             self.lasting += 1
             self._judge(held, late=self.now > held.aim_at)  # how long it lasts from here tells nothing
+            if event.attempt < len(held.attempts):  # that it began is the answer that the pace goes by
+                taken = self.now - held.attempts[event.attempt].sent_at
+                self.overload.answered(self.now, taken / max(1, held.grade.aim))
 
     def _on_probe_ended(self, event: ProbeEnded) -> None:
         pass
--- a/rigs/grpc.py
+++ b/rigs/grpc.py
@@ -50,6 +50,8 @@
         rng = random.Random(stage.rng.getrandbits(32))
         grpc = GrpcApplication("grpc", port, stage.ledger, rng, RATE)
         began = now()
+        assert stage.program is not None and stage.program.process is not None
+        resting = _kb(stage.program.process.pid, "VmRSS")
         async with keeping_book(stage):
             streams = [asyncio.create_task(grpc.stream(40, length / 60)) for _ in range(STREAMS)]
             await asyncio.gather(http.run(length), grpc.run(length), _faults(stage, length))
@@ -60,6 +62,8 @@
             mismatches = [told for code in CODES if (told := await _status(grpc, code))]
         await grpc.close()
         _judge(report, stage, grpc, mismatches, began)
+        assert stage.program is not None and stage.program.process is not None
+        report.fields["peak_buffer_kb"] = _kb(stage.program.process.pid, "VmHWM") - resting
         code = await stage.down()
     if code:
         report.unkept.append(f"the program ended with code {code}")
@@ -67,6 +71,12 @@
     return report.held(stage.ledger)
 
 
+def _kb(pid: int, field: str) -> int:
+    """A figure of the program's memory, in KiB."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith(field + ":"))
+
+
 def _operator_file(folder: str, port: int) -> dict[str, str]:
     file = Path(folder) / "operator.toml"
     file.write_text(
--- a/tests/grpcs/test_on_sockets.py
+++ b/tests/grpcs/test_on_sockets.py
@@ -34,6 +34,7 @@
         self.answer = answer
         self.calls: list[tuple[str, dict[str, Any]]] = []
         self.cancelled = 0
+        self.turns_away = False  # streams, before their request is whole
 
     async def start(self) -> Server:
         self.server = grpc.aio.server()
@@ -69,6 +70,9 @@
 
     async def _echo(self, requests: AsyncIterator[bytes], context: Any) -> AsyncIterator[bytes]:
         self._note("echo", context)
+        if self.turns_away:
+            context.set_trailing_metadata((("x-rejected", "1"),))
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "turned away")
         async for request in requests:
             yield request
 
@@ -366,6 +370,65 @@
     run(case())
 
 
+def test_a_stream_that_is_turned_away_before_its_request_is_whole_goes_on_elsewhere() -> None:
+    async def case() -> None:
+        async with stage(ok, ok) as made:
+            made.servers[0].turns_away = True
+            for _ in range(4):
+                call = made.channel.stream_stream(ECHO)(timeout=10.0)
+                for number in range(3):
+                    await call.write(b"%d" % number)
+                    assert await call.read() == b"%d" % number
+                await call.done_writing()
+                assert await call.read() is grpc.aio.EOF
+                assert await call.code() == grpc.StatusCode.OK
+            assert made.servers[0].calls and len(made.servers[1].calls) == 4
+
+    run(case())
+
+
+def test_a_planned_end_with_a_long_stream_open_lets_it_go_on_for_its_grace() -> None:
+    async def case() -> None:
+        async with stage(ok) as made:
+            call = made.channel.stream_stream(ECHO)(timeout=15.0)
+            await call.write(b"1")
+            assert await call.read() == b"1"
+            ending = asyncio.create_task(made.front.close(1.0))
+            await asyncio.sleep(0.3)
+            await call.write(b"2")
+            assert await call.read() == b"2"  # after both GOAWAYs
+            await ending
+            assert await call.code() != grpc.StatusCode.OK  # its grace was over
+            await until(made.quiet)
+
+    run(case())
+
+
+def test_a_time_out_ends_a_call_whose_request_waits_for_a_window() -> None:
+    async def case() -> None:
+        async with stage(ok) as made:
+
+            async def deaf(requests: Any, context: Any) -> AsyncIterator[bytes]:
+                await asyncio.sleep(20)
+                yield b""
+
+            handlers = {"Deaf": grpc.stream_stream_rpc_method_handler(deaf)}
+            server = grpc.aio.server()
+            server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler("t.Checks", handlers),))
+            port = server.add_insecure_port("127.0.0.1:0")
+            await server.start()
+            made.sidecar.transport.learn(ListKind.FULL, [(Endpoint(9), ("127.0.0.1", port))])
+            call = made.channel.stream_stream("/t.Checks/Deaf")(timeout=1.0)
+            with contextlib.suppress(grpc.aio.AioRpcError, asyncio.InvalidStateError):
+                for _ in range(200):
+                    await call.write(b"x" * 16_000)
+            assert await call.code() == grpc.StatusCode.DEADLINE_EXCEEDED
+            await until(made.quiet)
+            await server.stop(0.0)
+
+    run(case())
+
+
 def test_duplicate_ids_under_way_are_told_so() -> None:
     async def case() -> None:
         go_on = asyncio.Event()
