Let one piece of code serve where two stood, and drop state that could be derived

Dead code removed: Turns.tally, Client.give_up. The weights' pass reads size and health by the one function again. No behaviour is meant to change.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -179,7 +179,7 @@
         self.seats: dict[int, int] = {}
         self.free: list[int] = []
         self.touched: dict[int, Server] = {}  # whose weight is to be made anew
-        self.moving: list[Server] = []  # whose weight changes by itself: cold ones and those with errors
+        self.moving: dict[int, Server] = {}  # whose weight changes by itself: cold ones and those with errors
         self.look_at = 0  # when the moving ones are looked at
 
 
@@ -339,10 +339,8 @@
 
     def _reweigh(self) -> None:
         moving, self.kept = False, 1.0 - self._beta()
-        kept = self.kept
-        for server in self.pool:  # as `_feel` does, without a call for each
-            server.size = server.units / self.pace.get(server.kind, 1.0) / self._own_pace(server)
-            server.health = max(FLOOR, kept ** self._decayed(server))
+        for server in self.pool:
+            self._feel(server)
             moving = moving or server.errors > 0.0
         self.typical = sum(server.health for server in self.pool) / max(1, len(self.pool))
         for server in self.pool:
@@ -401,7 +399,7 @@
         self.many.turns.set_weights(
             [server.weight if server is not None else 0.0 for server in self.many.by_seat]
         )
-        self.many.moving = [s for s in self.pool if s.errors > 0.0 or self._warmth(s) < 1.0]
+        self.many.moving = {s.id: s for s in self.pool if self._moves(s)}
         self.many.touched.clear()
         self.many.look_at = self.now + max(1, self.settings.ramp_time // REFRESHES)
 
@@ -445,7 +443,11 @@
         self._take_seat(server)
         self.many.touched[endpoint] = server
         if self._warmth(server) < 1.0:
-            self.many.moving.append(server)
+            self.many.moving[endpoint] = server
+
+    def _moves(self, server: Server) -> bool:
+        """Whether a server's weight changes by itself."""
+        return server.errors > 0.0 or self._warmth(server) < 1.0
 
     def _reweigh_some(self) -> None:
         """Bring those up to date that changed, and now and then those that move by themselves."""
@@ -453,8 +455,8 @@
         changed, self.many.touched = self.many.touched, {}
         if self.now >= self.many.look_at:
             self.many.look_at = self.now + max(1, self.settings.ramp_time // REFRESHES)
-            self.many.moving = [s for s in self.many.moving if s.errors > 0.0 or self._warmth(s) < 1.0]
-            changed |= {server.id: server for server in self.many.moving}
+            self.many.moving = {known: s for known, s in self.many.moving.items() if self._moves(s)}
+            changed |= self.many.moving
         for endpoint, server in changed.items():
             seat = self.many.seats.get(endpoint)
             if seat is None or self.many.by_seat[seat] is not server:
@@ -465,8 +467,8 @@
             away = server.zone != self.settings.zone
             server.weight = weight * (self.away_factor if away else 1.0) / self.total
             self.many.turns.set_weight(seat, server.weight)
-            if server.errors > 0.0 and server not in self.many.moving[-MANY:]:
-                self.many.moving.append(server)
+            if server.errors > 0.0:
+                self.many.moving[endpoint] = server
 
     def _pick_of_many(self, held: Held) -> Server | None:
         assert self.many.turns is not None
--- a/garnethaven/connections/planner.py
+++ b/garnethaven/connections/planner.py
@@ -29,8 +29,7 @@
 from garnethaven.connections.demand import Demand
 from garnethaven.connections.idle_limits import IdleLimits
 from garnethaven.connections.pacing import Pace
-
-Address = tuple[str, int]
+from garnethaven.net.config import Address
 
 DIAL_MEMORY = 8  # dials over which their usual time is smoothed
 WAIT_LEAST_S = 0.005
--- a/garnethaven/connections/pool.py
+++ b/garnethaven/connections/pool.py
@@ -275,21 +275,11 @@
             exchange.over = exchange.refused = True
             exchange.broken(written=False)
 
-    async def _connect(self, address: Address) -> Connection:
-        loop = self.pool.loop
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            keep_alive(sock)
-            await loop.sock_connect(sock, address)
-            _, connection = await loop.create_connection(
-                lambda: PlannedConnection(self, address, sock), sock=sock
-            )
-        except BaseException:
-            sock.close()
-            raise
-        return connection
+    def prepare(self, sock: socket.socket) -> None:
+        keep_alive(sock)
+
+    def made(self, address: Address, sock: socket.socket) -> Connection:
+        return PlannedConnection(self, address, sock)
 
     def _came_free(self, connection: PlannedConnection) -> None:
         """A connection may carry something now, or waits."""
--- a/garnethaven/engine/classes.py
+++ b/garnethaven/engine/classes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from garnethaven.interface import Effect, Settings
-from garnethaven.settings import Names
+from garnethaven.settings import Names, numbered
 
 
 class Classes:
@@ -11,8 +11,8 @@
 
     def __init__(self, settings: Settings, names: Names) -> None:
         self.settings = settings
-        self.grades = {name: index for index, name in enumerate(names.grades)}
-        self.tenants = {name: index for index, name in enumerate(names.tenants)}
+        self.grades = numbered(names.grades)
+        self.tenants = numbered(names.tenants)
 
     def grade_of(self, name: str, keyed: bool) -> int | None:
         """The class's number; of its unsafe twin where nothing may be repeated; None for no class."""
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -268,8 +268,12 @@
         call = self.calls.get(action.id)
         attempt = call.attempts[action.attempt] if call and action.attempt < len(call.attempts) else None
         if attempt is not None and not attempt.over:
-            attempt.give_up()
-            self.attempt_ended(attempt, Outcome.CANCELLED)
+            self.cancel(attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """End an attempt that is open and of no use any more."""
+        attempt.give_up()
+        self.attempt_ended(attempt, Outcome.CANCELLED)
 
     def attempt_ended(
         self,
--- a/garnethaven/grpcs/front.py
+++ b/garnethaven/grpcs/front.py
@@ -165,8 +165,7 @@
         engine.left(call)
         for attempt in attempts:
             if not attempt.over:
-                attempt.give_up()
-                engine.attempt_ended(attempt, Outcome.CANCELLED)
+                engine.cancel(attempt)
 
     def _open(self, call: Call | None = None) -> list[GrpcAttempt]:
         call = call or self.call
@@ -238,8 +237,7 @@
         engine.post(StreamBegan(call.id, attempt.number))
         for other in self._open():
             if other is not attempt:
-                other.give_up()
-                engine.attempt_ended(other, Outcome.CANCELLED)
+                engine.cancel(other)
         self.line.send_headers(self.stream_id, answer_headers(attempt.answer), more=True)
         held, attempt.held = attempt.held, []
         for data in held:
@@ -325,9 +323,7 @@
 
     def _finish(self, trailers: Headers | None) -> None:
         self.sender.end(trailers)
-        self.line.flush_stream(self)
-        if self.sender.over:
-            self._close()
+        self.line.flush_stream(self)  # which closes the stream once all of it is out
 
     def _break(self, code: ErrorCodes) -> None:
         self.line.reset(self.stream_id, code)
--- a/garnethaven/grpcs/streams.py
+++ b/garnethaven/grpcs/streams.py
@@ -11,7 +11,7 @@
 
 from h2.connection import H2Connection
 
-Headers = list[tuple[bytes, bytes]]
+from garnethaven.grpcs.mapping import Headers
 
 
 class Sender:
--- a/garnethaven/grpcs/transport.py
+++ b/garnethaven/grpcs/transport.py
@@ -36,8 +36,7 @@
 from garnethaven.grpcs.mapping import Headers, reset_outcome
 from garnethaven.grpcs.streams import Sender
 from garnethaven.interface import Outcome, Send, State
-
-Address = tuple[str, int]
+from garnethaven.net.config import Address
 
 STREAMS_MOST = 1000  # on a connection, whatever the server allows
 WINDOW = 64 * 1024
--- a/garnethaven/membership/cache.py
+++ b/garnethaven/membership/cache.py
@@ -10,25 +10,28 @@
 import asyncio
 import json
 import os
-import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
 
 from garnethaven.interface import Endpoint, State
 from garnethaven.membership.model import Fact
+from garnethaven.membership.payloads import MS
 
 FORM = 1
 EVERY_S = 1.0
 FILE_MOST = 64 * 1024 * 1024
-MS = 1_000_000
 
 
 class Cache:
-    def __init__(self, path: str, loop: asyncio.AbstractEventLoop, log: Callable[[str], None]) -> None:
+    """`clock_offset` is its source's: local nanoseconds and this are wall-clock ones."""
+
+    def __init__(
+        self, path: str, loop: asyncio.AbstractEventLoop, log: Callable[[str], None], clock_offset: int
+    ) -> None:
         self.path = Path(path)
         self.loop = loop
         self.log = log
-        self.clock_offset = time.time_ns() - time.monotonic_ns()
+        self.clock_offset = clock_offset
         self.facts: Mapping[str, Fact] = {}
         self.timer: asyncio.TimerHandle | None = None
 
--- a/garnethaven/membership/client.py
+++ b/garnethaven/membership/client.py
@@ -55,7 +55,7 @@
     def pause_writing(self) -> None:
         """The host reads nothing while we go on asking."""
         if self.client.wire is self:
-            self.client.give_up("it reads nothing")
+            self.client.over("it reads nothing")
 
     def connection_lost(self, problem: Exception | None) -> None:
         if self.client.wire is self:
@@ -186,9 +186,6 @@
             self.user.event(event)
         self._again(reason, refused)
 
-    def give_up(self, reason: str) -> None:
-        self.over(reason)
-
     # What comes
 
     def received(self, data: bytes) -> None:
@@ -222,6 +219,6 @@
             return
         for event in self.session.tick(self.loop.time()):
             if isinstance(event, Left):
-                self.give_up(event.reason)
+                self.over(event.reason)
                 return
         self.flush()
--- a/garnethaven/membership/merger.py
+++ b/garnethaven/membership/merger.py
@@ -13,8 +13,8 @@
 from garnethaven.membership.batches import Batches
 from garnethaven.membership.model import Fact, Model
 from garnethaven.membership.settings import DISCOVERY
+from garnethaven.net.config import Address
 
-Address = tuple[str, int]
 Entries = list[tuple[Endpoint, Address | None]]
 Learn = Callable[[ListKind, Entries], None]
 
--- a/garnethaven/membership/model.py
+++ b/garnethaven/membership/model.py
@@ -34,8 +34,7 @@
 from enum import Enum
 
 from garnethaven.interface import Endpoint, State
-
-Address = tuple[str, int]
+from garnethaven.net.config import Address
 
 
 class Reason(Enum):
--- a/garnethaven/membership/settings.py
+++ b/garnethaven/membership/settings.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from garnethaven.membership.payloads import FORMS, MAPPED, Network, Rules
+from garnethaven.net.config import Address
 
 if TYPE_CHECKING:
     from garnethaven.operator import Table
@@ -22,8 +23,6 @@
     "withdraw_ms": (0, 5_000),
 }
 
-Address = tuple[str, int]
-
 
 @dataclass(slots=True, frozen=True)
 class Tls:
--- a/garnethaven/membership/source.py
+++ b/garnethaven/membership/source.py
@@ -55,7 +55,7 @@
         self.closing: set[asyncio.Task[None]] = set()
         self.settings = settings
         self.register: Register | None = None
-        self.cache = Cache(settings.cache, loop, log) if settings.cache else None
+        self.cache = Cache(settings.cache, loop, log, self.clock_offset) if settings.cache else None
         self._set_up(settings)
 
     def _set_up(self, settings: Registry) -> None:
@@ -152,7 +152,7 @@
         try:
             told = self.following.told(event)
         except RecordError as problem:
-            self.client.give_up(f"it can't be read: {problem}")
+            self.client.over(f"it can't be read: {problem}")
             return
         self._do(told)
 
@@ -160,7 +160,7 @@
         for ask in told.asks:
             self.client.ask(ask.op, ask.body, ask.tag)
         if told.lags:
-            self.client.give_up("it lags: it tells a node that has ended")
+            self.client.over("it lags: it tells a node that has ended")
             return
         prefix = self.following.prefix
         if told.facts:
--- a/garnethaven/membership/sources.py
+++ b/garnethaven/membership/sources.py
@@ -9,6 +9,7 @@
 from garnethaven.membership.settings import Membership
 from garnethaven.membership.source import RegistrySource
 from garnethaven.net.config import Config
+from garnethaven.settings import numbered
 
 
 class Sources:
@@ -26,11 +27,8 @@
         self.settings = settings
         self.address = config.listen
         self.merger = Merger(settings.precedence, loop, learn)
-        zones = {name: index for index, name in enumerate(config.names.zones)}
-        kinds = {name: index for index, name in enumerate(config.names.kinds)}
-        self.registry = RegistrySource(
-            settings.zookeeper, self.merger, loop, config.seed, (zones, kinds), log
-        )
+        names = numbered(config.names.zones), numbered(config.names.kinds)
+        self.registry = RegistrySource(settings.zookeeper, self.merger, loop, config.seed, names, log)
 
     def start(self) -> None:
         """The program is ready: follow the registry, and register where that is wanted."""
--- a/garnethaven/net/discovery.py
+++ b/garnethaven/net/discovery.py
@@ -19,6 +19,7 @@
 from garnethaven.net.config import Address, Config, parse_address
 from garnethaven.net.transport import HttpTransport
 from garnethaven.net.upstream import Answer, Exchange, Pool, Target
+from garnethaven.settings import numbered
 
 DIAL_S = 1.0
 CALLS_MOST = 3  # connections to discovery: the watch's, the one out of turn, and one that is being closed
@@ -72,8 +73,8 @@
         self.transport = transport
         self.loop = loop
         self.pushed = not config.settings.ask_discovery
-        self.zones = {name: index for index, name in enumerate(config.names.zones)}
-        self.kinds = {name: index for index, name in enumerate(config.names.kinds)}
+        self.zones = numbered(config.names.zones)
+        self.kinds = numbered(config.names.kinds)
         # One difference for the whole life: an endpoint whose start seemed to move would seem restarted.
         self.clock_offset = time.time_ns() - time.monotonic_ns()
         self.pool = Pool(loop, limit=lambda: CALLS_MOST, idle_s=0.0, memory=AnswerMemory(config.memory_mb))
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -377,14 +377,22 @@
         else:
             connection.carry(exchange)
 
+    def prepare(self, sock: socket.socket) -> None:
+        """Set further options of a socket before it connects."""
+
+    def made(self, address: Address, sock: socket.socket) -> Connection:
+        """The connection of a socket that has come up."""
+        return Connection(self, address, sock)
+
     async def _connect(self, address: Address) -> Connection:
         loop = self.pool.loop
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.prepare(sock)
             await loop.sock_connect(sock, address)
-            _, connection = await loop.create_connection(lambda: Connection(self, address, sock), sock=sock)
+            _, connection = await loop.create_connection(lambda: self.made(address, sock), sock=sock)
         except BaseException:
             sock.close()
             raise
--- a/garnethaven/settings.py
+++ b/garnethaven/settings.py
@@ -74,6 +74,11 @@
     )
 
 
+def numbered(names: tuple[str, ...]) -> dict[str, int]:
+    """The module's number of each name."""
+    return {name: index for index, name in enumerate(names)}
+
+
 def read_names(facts: dict[str, Any]) -> Names:
     """The names behind the module's numbers; only a real sidecar meets them."""
     try:
--- a/garnethaven/turns.py
+++ b/garnethaven/turns.py
@@ -39,10 +39,6 @@
     def weight(self, seat: int) -> float:
         return self.weights[0][seat]
 
-    def tally(self, seat: int) -> float:
-        """How far a seat is ahead of its last turn, among its nearest neighbours."""
-        return self.tallies[0][seat]
-
     def set_tally(self, seat: int, tally: float) -> None:
         self.tallies[0][seat] = tally
 
--- a/tests/connections/test_settings.py
+++ b/tests/connections/test_settings.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import subprocess
-import sys
 from dataclasses import replace
 from pathlib import Path
 
@@ -17,18 +15,13 @@
 from garnethaven.operator import Connections, Operator, OperatorError, read_operator
 from standins.platform import free_port
 from tests.loopback import config_file, run
-from tests.rigs.test_rigs import play
+from tests.rigs.test_rigs import imported_at_start, play
 
 ROOT = Path(__file__).parent.parent.parent
-LOADED = (
-    "import sys, garnethaven.__main__; "
-    "print([name for name in sys.modules if name.startswith('garnethaven.connections')])"
-)
 
 
 def test_nothing_of_it_is_imported_where_it_is_off() -> None:
-    told = subprocess.run([sys.executable, "-c", LOADED], cwd=ROOT, capture_output=True, text=True)
-    assert told.stdout.strip() == "[]", told.stderr
+    assert imported_at_start("garnethaven.connections") == "[]"
 
 
 def test_the_example_is_good() -> None:
--- a/tests/extproc/test_off_and_on.py
+++ b/tests/extproc/test_off_and_on.py
@@ -2,26 +2,21 @@
 
 from __future__ import annotations
 
-import subprocess
-import sys
 from pathlib import Path
 
 import pytest
 
 from garnethaven.operator import OperatorError, Route, read_operator
-from tests.rigs.test_rigs import play
+from tests.rigs.test_rigs import imported_at_start, play
 
 ROOT = Path(__file__).parent.parent.parent
-LOADED = (
-    "import sys, garnethaven.__main__; "
-    "print([name for name in sys.modules if name.partition('.')[0] in ('grpc', 'envoy', 'google') "
-    "or name.startswith(('garnethaven.extproc', 'garnethaven.net.limits_view'))])"
-)
 
 
 def test_nothing_of_it_is_imported_where_it_is_off() -> None:
-    told = subprocess.run([sys.executable, "-c", LOADED], cwd=ROOT, capture_output=True, text=True)
-    assert told.stdout.strip() == "[]", told.stderr
+    assert (
+        imported_at_start("grpc", "envoy", "google", "garnethaven.extproc", "garnethaven.net.limits_view")
+        == "[]"
+    )
 
 
 def test_the_example_is_good() -> None:
--- a/tests/grpcs/test_settings.py
+++ b/tests/grpcs/test_settings.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import ssl
-import subprocess
-import sys
 from dataclasses import replace
 from pathlib import Path
 
@@ -21,19 +19,13 @@
 from tests.grpcs.raw import PREFACE, SETTINGS, frame
 from tests.grpcs.test_on_sockets import ROUTES, UNARY, address_of, ok, stage
 from tests.loopback import ANSWER, run, running, says
-from tests.rigs.test_rigs import play
+from tests.rigs.test_rigs import imported_at_start, play
 
 ROOT = Path(__file__).parent.parent.parent
-LOADED = (
-    "import sys, garnethaven.__main__; "
-    "print([name for name in sys.modules if name.partition('.')[0] in ('h2', 'hpack') "
-    "or name.startswith('garnethaven.grpcs')])"
-)
 
 
 def test_nothing_of_it_is_imported_where_it_is_off() -> None:
-    told = subprocess.run([sys.executable, "-c", LOADED], cwd=ROOT, capture_output=True, text=True)
-    assert told.stdout.strip() == "[]", told.stderr
+    assert imported_at_start("h2", "hpack", "garnethaven.grpcs") == "[]"
 
 
 def test_the_example_is_good() -> None:
--- a/tests/membership/test_settings.py
+++ b/tests/membership/test_settings.py
@@ -2,20 +2,15 @@
 
 from __future__ import annotations
 
-import subprocess
-import sys
 from pathlib import Path
 
 import pytest
 
 from garnethaven.membership.settings import Membership
 from garnethaven.operator import OperatorError, read_operator
+from tests.rigs.test_rigs import imported_at_start
 
 ROOT = Path(__file__).parent.parent.parent
-LOADED = (
-    "import sys, garnethaven.__main__; "
-    "print([name for name in sys.modules if name.startswith('garnethaven.membership')])"
-)
 GOOD = 'hosts = ["127.0.0.1:2181", "127.0.0.2"]\nroot = "/checks"\n'
 
 
@@ -28,8 +23,7 @@
 
 
 def test_nothing_of_it_is_imported_where_it_is_off() -> None:
-    told = subprocess.run([sys.executable, "-c", LOADED], cwd=ROOT, capture_output=True, text=True)
-    assert told.stdout.strip() == "[]", told.stderr
+    assert imported_at_start("garnethaven.membership") == "[]"
 
 
 def test_the_example_is_good() -> None:
--- a/tests/rigs/test_rigs.py
+++ b/tests/rigs/test_rigs.py
@@ -25,6 +25,15 @@
     return done.returncode, json.loads(lines[-1]) if lines else {}, done.stderr
 
 
+def imported_at_start(*prefixes: str) -> str:
+    """The modules with these prefixes that are loaded where nothing is switched on, as a printed list."""
+    script = (
+        f"import sys, garnethaven.__main__; print([n for n in sys.modules if n.startswith({prefixes!r})])"
+    )
+    done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True)
+    return done.stdout.strip() + done.stderr
+
+
 def test_the_demo_serves_and_keeps_every_promise() -> None:
     code, figures, said = play("demo", "--seed", "5", "--seconds", "4")
     assert code == 0, said
