Reset nobody who has connected at a planned end, and spare those that have just come

Two causes were found with logs on both sides. The listening socket was closed with connections in its backlog, where places or descriptors ran short and in the moment between the last accept and the close. And, more often, the next life closed clients that all came back at once as silent: they had connected and wrote their first request 20 to 40 ms later.

Change. backlog.py: a filter on the listening socket drops first segments, so that what has arrived can be taken and answered before the socket is closed; used by the three fronts (the gRPC library's sockets are found by their port). The gRPC front warns connections that arrive during its end, and ends them after its second GOAWAY only. A connection that has not asked yet is spared for 0.2 s, at the planned end and where places are scarce.

--- a/garnethaven/extproc/front.py
+++ b/garnethaven/extproc/front.py
@@ -21,6 +21,7 @@
 import grpc.aio
 from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
 
+from garnethaven.backlog import emptied, listening_at
 from garnethaven.engine.calls import Call
 from garnethaven.engine.classes import Classes
 from garnethaven.engine.engine import MS, Engine, S
@@ -35,6 +36,7 @@
 
 SERVICE = "envoy.service.ext_proc.v3.ExternalProcessor"
 LAG_EVERY_S = 0.05
+DRAIN_S = 0.1  # for proxies that have connected to say hello, before the planned end
 MESSAGE_MOST = 64 * 1024
 PENDING_MOST = 200_000
 ACCEPTED = "accepted"
@@ -236,8 +238,18 @@
             self.look.cancel()
         if self.server is not None:
             server, self.server = self.server, None
+            if grace_s:
+                await self._take_arrived()
             await server.stop(grace_s)
 
+    async def _take_arrived(self) -> None:
+        """The library closes its sockets on whoever waits there, and drops who has not said hello."""
+        socks = listening_at(self.port)
+        await emptied(socks)
+        for sock in socks:
+            sock.close()
+        await asyncio.sleep(DRAIN_S)
+
     def _look(self) -> None:
         """See how late this process runs: what comes later than the proxy waits is decided for nobody."""
         now = self.engine.loop.time()
--- a/garnethaven/grpcs/front.py
+++ b/garnethaven/grpcs/front.py
@@ -36,6 +36,7 @@
 from h2.exceptions import H2Error, ProtocolError
 from h2.settings import SettingCodes
 
+from garnethaven.backlog import duplicate, emptied
 from garnethaven.engine.calls import Call
 from garnethaven.engine.classes import Classes
 from garnethaven.engine.engine import MS, Engine
@@ -363,6 +364,9 @@
         )
         self.h2.initiate_connection()
         self.h2.increment_flow_control_window(CONNECTION_WINDOW)
+        if self.front.closing:
+            self.flush()
+            self.drain()
 
     def connection_lost(self, problem: Exception | None) -> None:
         self.front.lines.discard(self)
@@ -528,6 +532,7 @@
         self.numbers = count(1)
         self.server: asyncio.Server | None = None
         self.port = 0
+        self.closing = False
         self.calm: asyncio.Future[None] | None = None
 
     def renew(self, operator: Grpc) -> bool:
@@ -549,11 +554,14 @@
         return self
 
     async def close(self, grace_s: float) -> None:
-        """Tell clients to go elsewhere, and give what is under way so long."""
-        if self.server is not None:
-            self.server.close()
+        """Tell clients to go elsewhere, and give what is under way so long; with 0 all ends at once."""
+        self.closing = True
         for line in list(self.lines):
             line.drain()
+        if self.server is not None:
+            await self._end_listening(self.server, at_once=not grace_s)
+        if grace_s:
+            await asyncio.sleep(DRAIN_S)  # what was on its way when clients were warned is taken
         self.calm = self.engine.loop.create_future()
         self.look()
         with contextlib.suppress(TimeoutError):
@@ -562,6 +570,14 @@
             line._end()
         self.transport.close()
 
+    async def _end_listening(self, server: asyncio.Server, at_once: bool) -> None:
+        """Take what has arrived, so that each learns that it must go elsewhere, then close."""
+        socks = [] if at_once else [duplicate(sock.fileno()) for sock in server.sockets]
+        await emptied(socks)
+        for sock in socks:
+            sock.close()
+        server.close()
+
     def look(self) -> None:
         """Whether a planned end has nothing left to wait for."""
         if self.calm is not None and not self.calm.done() and not any(line.streams for line in self.lines):
--- a/garnethaven/limits/places.py
+++ b/garnethaven/limits/places.py
@@ -17,7 +17,8 @@
 The longest wait is worth least. Pressure runs from 0, at `EASE` of the places, to 1, at `FULL` of them. From
 0 on connections end in order of their worth, and the more of them at once the higher it is. An answer
 that says `Connection: close` is the harmless way and comes first: no request can cross it. Closing in
-silence is left to connections that have not been used for `CROSSING_S`.
+silence is left to connections that have not been used for `CROSSING_S`, or are older than `FIRST_S` without
+a request.
 
 Bounds. Below `EASE` nothing here acts, so calm days keep what they have. A connection that is expected back
 within `SPARED_S` is spared until the places are full. It would do harm to clients that open many
@@ -37,6 +38,10 @@
 TIGHT_WAIT_S = 0.15  # the same at full pressure
 SPARED_S = 1.0  # expected back within this: not closed below full pressure
 CROSSING_S = 0.02  # a connection that was used so lately may have its next request on the way
+# A client that connects many at once writes its first request after the last of them is open, and later on a
+# busy machine: until then silence means nothing. Where it is shorter, clients that all come back to a program
+# that has just started lose requests; longer, connections that never ask hold their places for longer.
+FIRST_S = 0.2
 SILENT_WEIGHT = 8.0
 BLAME_WEIGHT = 4.0
 OVERDUE = 4.0  # a gap that has passed this many times tells nothing any more
@@ -119,6 +124,10 @@
 
     # What becomes of them
 
+    def may_be_asking(self, usage: Usage, now: float) -> bool:
+        """Whether a request may be on its way on it: a close in silence would cost that."""
+        return now - usage.since < (CROSSING_S if usage.asked else FIRST_S)
+
     def expected_wait(self, usage: Usage, now: float) -> float:
         """Seconds until it is likely to be used again; the larger, the less it is worth."""
         idle = max(0.0, now - usage.since)
@@ -170,7 +179,7 @@
         ranked = [
             (wait, one)
             for one in idle
-            if now - one.usage.since >= CROSSING_S and (wait := self.expected_wait(one.usage, now)) > bar
+            if not self.may_be_asking(one.usage, now) and (wait := self.expected_wait(one.usage, now)) > bar
         ]
         ranked.sort(key=lambda pair: -pair[0])
         wanted = ceil((held - EASE * self.most) * max(0.25, pressure))
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -11,10 +11,11 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from garnethaven.backlog import LOOK_S, stop_arrivals, waiting
 from garnethaven.engine.calls import Call
 from garnethaven.engine.classes import Classes, key_of
 from garnethaven.engine.engine import MS, Engine
-from garnethaven.limits.places import Places, Usage
+from garnethaven.limits.places import FIRST_S, Places, Usage
 from garnethaven.net.config import Config
 from garnethaven.net.transport import HttpRequest, HttpTransport
 from garnethaven.net.upstream import Answer, Header
@@ -40,7 +41,6 @@
 SWEEP_S = 0.2
 EASE_S = 0.05  # between two looks at the places for clients
 CLIENTS_PART = 3  # clients may hold this part of the descriptors for requests
-SILENT_S = 0.1  # at the limit, connections that have asked nothing for this long make room first
 HALF_CLOSED_CHECK_S = 0.005  # the client is on this machine: a reset is back at once
 ACCEPT_AT_ONCE = 64
 OVERFLOW = 16  # connections above the limit that are taken only to say so
@@ -52,6 +52,7 @@
 DRAIN_LISTEN_S = 0.65
 DRAIN_QUIET_S = 0.2  # the listener stays while connections come
 DRAIN_LISTEN_MOST_S = 1.2
+DRAIN_BACKLOG_S = 1.0  # for what has arrived but finds no place, once no more may arrive
 DRAIN_READ_S = 1.4  # then a request that is still being written is given up
 
 DEFAULT_LIMITS = Limits()
@@ -452,13 +453,17 @@
             pass
         return False
 
+    def is_new(self, now: float) -> bool:
+        """Whether its first request may be on its way."""
+        return not self.usage.asked and self.listener.places.may_be_asking(self.usage, now)
+
     def takes_room(self, now: float) -> bool:
         """Whether it only takes up room: silent or slow, turned away, or answered and not read to the end."""
         if self.closing:
             return self.lingering and self not in self.listener.leaving
         if self.call is not None or self.ready:
             return False
-        return self.penalised or (self.waits_since > 0.0 and now - self.waits_since >= SILENT_S)
+        return self.penalised or (self.waits_since > 0.0 and now - self.waits_since >= FIRST_S)
 
     def _is_overdue(self, now: float) -> bool:
         waits = self.waits_since > 0.0 and self.call is None and not self.ready and not self.closing
@@ -518,6 +523,7 @@
         self.arriving: set[asyncio.Task[object]] = set()
         self.accepted: set[socket.socket] = set()  # not a connection yet
         self.draining = False
+        self.read_until = 0.0  # of a planned end
         self.listening = False
         self.accepted_at = 0.0
         self.finished: asyncio.Future[None] = loop.create_future()
@@ -662,25 +668,38 @@
         self.accepted_at = max(self.accepted_at, now)
         self.loop.call_at(now + DRAIN_IDLE_S, self._close_idle)
         self.loop.call_at(now + DRAIN_LISTEN_S, self._stop_listening, now + DRAIN_LISTEN_MOST_S)
-        self.loop.call_at(now + DRAIN_READ_S, self._stop_reading)
+        self.read_until = now + DRAIN_READ_S
 
     def _close_idle(self) -> None:
+        now = self.loop.time()
         for connection in list(self.connections):
-            if connection.is_idle():
+            if connection.is_idle() and not connection.is_new(now):
                 connection.stop_reading()
 
     def _stop_listening(self, latest: float) -> None:
-        """Close the listener once nothing waits in the kernel's backlog: it would be reset."""
+        """Let nothing more arrive once clients have stopped coming, or at the latest moment."""
         now = self.loop.time()
         came = self._accept()
         if now < latest and (came or now - self.accepted_at < DRAIN_QUIET_S):
             self.loop.call_later(0.02, self._stop_listening, latest)
             return
-        while self._accept():
-            pass
+        stop_arrivals(self.sock)
+        self.loop.call_later(LOOK_S, self._empty_backlog, now + DRAIN_BACKLOG_S)
+
+    def _empty_backlog(self, latest: float) -> None:
+        """Close the listener once all that has arrived is taken: what is left in the kernel is reset."""
+        now = self.loop.time()
+        came = self._accept()
+        left = waiting(self.sock)
+        if now < latest and (came or left):
+            self.loop.call_later(LOOK_S, self._empty_backlog, latest)
+            return
+        if left:
+            self.engine.log(f"the listening socket is closed on {left} that found no place")
         self._pause()
         self.sock.close()
         self._close_idle()
+        self.loop.call_at(max(self.read_until, now + FIRST_S), self._stop_reading)
         self._check_finished()
 
     def _stop_reading(self) -> None:
--- a/tests/limits/test_places.py
+++ b/tests/limits/test_places.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from garnethaven.limits.places import CALM_WAIT_S, EASE, FULL, TIGHT_WAIT_S, Places, Usage
+from garnethaven.limits.places import CALM_WAIT_S, EASE, FIRST_S, FULL, TIGHT_WAIT_S, Places, Usage
 
 
 @dataclass
@@ -71,6 +71,14 @@
     assert places.to_close(idle, held=100, now=10.2)
 
 
+def test_one_that_has_just_come_is_spared_until_its_first_request_must_have_come() -> None:
+    places = Places(100)
+    new = [One(f"n{n}", Usage(10.0)) for n in range(100)]
+    assert places.to_close(new, held=100, now=10.05) == []  # all came at once, and write one after the other
+    assert places.may_be_asking(new[0].usage, 10.0 + FIRST_S / 2)
+    assert places.to_close(new, held=100, now=10.01 + FIRST_S)
+
+
 def test_expected_back_within_a_second_is_spared_below_full_pressure() -> None:
     places = Places(100)
     soon = [used(f"u{n}", [0.0, 1.0, 1.9], places) for n in range(80)]  # gaps of 0.9 s
--- /dev/null
+++ b/tests/test_backlog.py
@@ -0,0 +1,184 @@
+"""Nobody who has connected is reset by a planned end, at any of the three fronts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from garnethaven.backlog import duplicate, emptied, listening_at, stop_arrivals, waiting
+from garnethaven.engine.engine import Engine
+from garnethaven.net import listener as listening
+from tests.extproc.test_front import stage as processor_stage
+from tests.grpcs.raw import GOAWAY, PREFACE, SETTINGS, frame
+from tests.grpcs.test_on_sockets import ok
+from tests.grpcs.test_on_sockets import stage as grpc_stage
+from tests.loopback import ANSWER, WAIT_S, request, run, running, says, until
+
+MANY = 60
+
+
+@contextlib.contextmanager
+def listener() -> Iterator[socket.socket]:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(64)
+        sock.setblocking(False)
+        yield sock
+
+
+def connected(port: int, said: bytes) -> socket.socket:
+    """A client that has written its request, whether anybody accepts it or not."""
+    sock = socket.create_connection(("127.0.0.1", port), WAIT_S)
+    sock.sendall(said)
+    return sock
+
+
+def read_all(sock: socket.socket) -> bytes:
+    """What came until the end; a reset is an error."""
+    with sock:
+        sock.settimeout(WAIT_S)
+        parts = []
+        while part := sock.recv(65536):
+            parts.append(part)
+    return b"".join(parts)
+
+
+def test_after_the_stop_what_has_arrived_is_accepted_and_no_more_arrives() -> None:
+    with listener() as sock:
+        port = sock.getsockname()[1]
+        clients = [connected(port, b"x") for _ in range(5)]
+        assert waiting(sock) == 5
+        stop_arrivals(sock)
+        late = socket.socket()
+        late.settimeout(0.2)
+        with pytest.raises(OSError):
+            late.connect(("127.0.0.1", port))
+        late.close()
+        assert waiting(sock) == 5
+        for client in clients:
+            taken, _ = sock.accept()
+            taken.settimeout(WAIT_S)
+            assert taken.recv(1) == b"x"
+            taken.close()
+            client.close()
+        assert waiting(sock) == 0
+
+
+def test_waiting_for_an_empty_backlog_ends_with_the_last_accept_and_never_hangs() -> None:
+    async def case() -> None:
+        with listener() as sock:
+            clients = [connected(sock.getsockname()[1], b"x") for _ in range(3)]
+            ending = asyncio.create_task(emptied([sock]))
+            for _ in clients:
+                await asyncio.sleep(0.02)
+                assert not ending.done()
+                sock.accept()[0].close()
+            await ending
+            for client in clients:
+                client.close()
+        with listener() as sock, connected(sock.getsockname()[1], b"x"):
+            await emptied([sock])  # nobody accepts
+            assert waiting(sock) == 1
+
+    run(case())
+
+
+def test_the_own_listening_sockets_are_found_by_their_port() -> None:
+    with listener() as sock, listener() as other:
+        (found,) = listening_at(sock.getsockname()[1])
+        with found, duplicate(other.fileno()) as twin:
+            assert found.getsockname() == sock.getsockname()
+            assert twin.getsockname() == other.getsockname()
+        assert sock.fileno() > 0
+        with connected(sock.getsockname()[1], b"x"):  # a closed handle closes nothing
+            sock.accept()[0].close()
+
+
+def test_a_full_backlog_of_a_draining_sidecar_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(listening, "DRAIN_LISTEN_S", 0.0)
+    monkeypatch.setattr(listening, "DRAIN_LISTEN_MOST_S", 0.0)
+
+    async def case() -> None:
+        async with running(says(ANSWER), connections=4) as (sidecar, _):
+            # Without a pause for the loop: all of these wait in the kernel, more than there are places.
+            clients = [connected(sidecar.port, request(X_Call_Id=f"b{n}")) for n in range(MANY)]
+            sidecar.listener.drain()
+            answers = await asyncio.gather(*(asyncio.to_thread(read_all, client) for client in clients))
+            assert {answer.split(b" ")[1] for answer in answers} <= {b"200", b"503"}
+            assert all(b"Connection: close" in answer for answer in answers)
+            await sidecar.listener.finished
+
+    run(case())
+
+
+def test_a_new_connection_may_still_ask_when_idle_ones_are_closed() -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            reader, writer = await sidecar.connect()
+            await until(lambda: len(sidecar.listener.connections) == 1)
+            sidecar.listener._close_idle()
+            writer.write(request())
+            assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 200")
+            writer.close()
+
+    run(case())
+
+
+def test_a_backlog_that_finds_no_place_is_told_in_the_log(monkeypatch: pytest.MonkeyPatch) -> None:
+    said: list[str] = []
+    monkeypatch.setattr(listening, "DRAIN_LISTEN_S", 0.0)
+    monkeypatch.setattr(listening, "DRAIN_LISTEN_MOST_S", 0.0)
+    monkeypatch.setattr(listening, "DRAIN_BACKLOG_S", 0.0)
+    monkeypatch.setattr(Engine, "log", lambda self, text: said.append(text))
+
+    async def case() -> None:
+        async with running(says(ANSWER), connections=4) as (sidecar, _):
+            clients = [connected(sidecar.port, request(X_Call_Id=f"b{n}")) for n in range(MANY)]
+            sidecar.listener.drain()
+            await sidecar.listener.finished
+            for client in clients:
+                client.close()
+
+    run(case())
+    assert any("found no place" in text for text in said)
+
+
+def test_a_full_backlog_of_a_draining_grpc_front_is_told_to_go_elsewhere() -> None:
+    async def case() -> None:
+        async with grpc_stage(ok) as made:
+            hello = PREFACE + frame(SETTINGS, 0, 0)
+            clients = [connected(made.front.port, hello) for _ in range(MANY)]
+            reading = [asyncio.create_task(asyncio.to_thread(read_all, client)) for client in clients]
+            await made.front.close(5.0)
+            for answer in await asyncio.gather(*reading):
+                kinds = list(frames(answer))
+                assert kinds[0] == SETTINGS and GOAWAY in kinds
+
+    run(case())
+
+
+def frames(told: bytes) -> Iterator[int]:
+    while told:
+        yield told[3]
+        told = told[9 + int.from_bytes(told[:3], "big") :]
+
+
+def test_a_full_backlog_of_a_draining_processor_is_told_to_go_elsewhere() -> None:
+    async def case() -> None:
+        async with processor_stage() as made:
+            hello = PREFACE + frame(SETTINGS, 0, 0)
+            clients = [connected(made.front.port, hello) for _ in range(6 * MANY)]
+            reading = [asyncio.create_task(asyncio.to_thread(first_frame, client)) for client in clients]
+            await made.front.close(5.0)
+            assert {answer[3:4] for answer in await asyncio.gather(*reading)} == {b"\x04"}
+
+    run(case())
+
+
+def first_frame(sock: socket.socket) -> bytes:
+    with sock:
+        return sock.recv(9)
