--- a/benchmarks/external_processor.py
+++ b/benchmarks/external_processor.py
@@ -30,10 +30,11 @@
 from garnethaven.engine.engine import Engine
 from garnethaven.extproc.answers import go_on
 from garnethaven.extproc.front import SERVICE, Front
+from garnethaven.extproc.table import ExternalProcessor
 from garnethaven.interface import Endpoint, ListKind
 from garnethaven.net.transport import HttpTransport
-from garnethaven.operator import ExternalProcessor
 from garnethaven.settings import read_names, read_settings
+from garnethaven.tables import Secret
 from standins.ledger import Ledger
 from standins.platform import settings
 from standins.proxy import Proxy, Ways, headers_message
@@ -56,7 +57,7 @@
         [(Endpoint(n + 1, cell=n // 3), ("127.0.0.1", 20_000 + n)) for n in range(SERVERS)],
     )
     classes = Classes(engine.settings, read_names(settings()))
-    front = Front(ExternalProcessor(keys=(b"k" * 16,)), engine, transport, classes)
+    front = Front(ExternalProcessor(keys=(Secret(b"k" * 16),)), engine, transport, classes)
     await front.start(("127.0.0.1", 0))
     print(front.port, flush=True)
     await ended
--- a/benchmarks/grpcs.py
+++ b/benchmarks/grpcs.py
@@ -28,10 +28,10 @@
 from garnethaven.engine.classes import Classes
 from garnethaven.engine.engine import Engine
 from garnethaven.grpcs.front import Front
+from garnethaven.grpcs.table import Grpc, GrpcRoute
 from garnethaven.grpcs.transport import GrpcTransport
 from garnethaven.interface import Endpoint, ListKind
 from garnethaven.net.transport import HttpTransport
-from garnethaven.operator import Grpc, GrpcRoute
 from garnethaven.settings import read_names, read_settings
 from standins.platform import settings
 
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -25,11 +25,12 @@
 
 import uvloop
 
+from garnethaven.config import Config
 from garnethaven.engine.engine import Engine
 from garnethaven.interface import Endpoint, ListKind
-from garnethaven.membership.settings import Membership, Registry
 from garnethaven.membership.sources import Sources
-from garnethaven.net.config import Config
+from garnethaven.membership.table import Membership, ZooKeeper, ZooKeeperHost
+from garnethaven.membership.zookeeper.source import RegistrySource
 from garnethaven.net.transport import HttpTransport
 from garnethaven.settings import read_names, read_settings
 from standins.platform import settings
@@ -102,9 +103,12 @@
         self.transport = HttpTransport(self.engine, told, loop, lambda: 100, 256)
         self.engine.start()
         self.times = Times()
-        registry = Registry((("127.0.0.1", port),), ROOT, spread_ms=0)
+        registry = ZooKeeper((ZooKeeperHost(("127.0.0.1", port)),), ROOT, spread_ms=0)
         self.sources = Sources(Membership(zookeeper=registry), config, loop, self.learn, lambda text: None)
-        client = self.sources.registry.client
+        source = self.sources.registries["zookeeper"]
+        assert isinstance(source, RegistrySource)
+        self.source = source
+        client = source.client
         received = client.received
 
         def noted(data: bytes) -> None:
@@ -172,7 +176,8 @@
 
 async def _reread(program: Program, nodes: int) -> tuple[float, float]:
     """CPU seconds of a whole re-read after a lost connection, and the longest pause of the loop."""
-    registry, connects = program.sources.registry, program.sources.registry.client.connects
+    registry = program.source
+    connects = registry.client.connects
     lag = asyncio.create_task(_longest_pause())
     before = spent()
     assert registry.client.wire is not None
--- a/garnethaven/__main__.py
+++ b/garnethaven/__main__.py
@@ -10,12 +10,12 @@
 
 import uvloop
 
-from garnethaven.net.config import Config, ConfigError, read_config
-from garnethaven.net.sidecar import Sidecar
-from garnethaven.operator import Operator, OperatorError, named_file, read_operator
+from garnethaven.app.operator import Operator, OperatorError, named_file, read_operator
+from garnethaven.app.sidecar import Sidecar
+from garnethaven.config import Config, ConfigError, read_config
 
 YOUNG_OBJECTS = 10_000  # collected in this many; nearly all objects end by their counts
-CHECK = "check"
+CHECK, TABLES = "check", "tables"
 
 
 async def serve(config: Config, operator: Operator, path: str | None) -> None:
@@ -50,18 +50,37 @@
 
 
 def check(path: str) -> int:
-    """Tell whether an operator's file is good."""
-    read_operator(path)
+    """Tell whether an operator's file is good, or all that is wrong with it."""
+    try:
+        read_operator(path)
+    except OperatorError as wrong:
+        for problem in wrong.problems:
+            print(f"garnethaven: {problem}", file=sys.stderr)
+        return 2
     print(f"{path} is good")
     return 0
 
 
+def show_tables(names: list[str]) -> int:
+    """Print the declared tables as the operators' pages hold them; of all features where none is named."""
+    from garnethaven.app.registry import PACKAGES, table_of
+    from garnethaven.tables import described
+
+    unknown = [name for name in names if name not in PACKAGES]
+    if unknown:
+        raise OperatorError([f"there is no table {name!r}" for name in unknown])
+    print("\n\n".join("\n".join(described(table_of(name), name)) for name in names or PACKAGES))
+    return 0
+
+
 def main(arguments: list[str] | None = None) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a loop to handle it
     words = sys.argv[1:] if arguments is None else arguments
     try:
         if words[:1] == [CHECK] and len(words) == 2:
             return check(words[1])
+        if words[:1] == [TABLES]:
+            return show_tables(words[1:])
         path = named_file(words, os.environ)
         operator = read_operator(path)
         uvloop.run(serve(read_config(os.environ), operator, path))
--- /dev/null
+++ b/garnethaven/app/__init__.py
@@ -0,0 +1,1 @@
+"""Where the parts are put together; nothing imports this package."""
--- a/garnethaven/net/config.py
+++ b/garnethaven/config.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import json
-import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from garnethaven.addresses import Address, parse_address
 from garnethaven.interface import Settings
 from garnethaven.settings import Names, SettingsError, read_names, read_settings
 
-Address = tuple[str, int]
-
 
 class ConfigError(Exception):
     """The configuration is missing, unreadable or not as the deployment page says."""
@@ -68,20 +66,6 @@
     )
 
 
-def parse_address(text: object) -> Address | None:
-    """An IP address and a port, or None: there is no DNS."""
-    if not isinstance(text, str):
-        return None
-    host, mark, port = text.rpartition(":")
-    if not mark or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
-        return None
-    try:
-        socket.inet_pton(socket.AF_INET, host)
-    except (OSError, ValueError):
-        return None
-    return host, int(port)
-
-
 def _field(told: dict[str, Any], name: str, kind: type) -> Any:
     if not isinstance(told.get(name), kind):
         raise ConfigError(f"'{name}' is missing or not of the right kind")
--- /dev/null
+++ b/garnethaven/connections/feature.py
@@ -0,0 +1,56 @@
+"""The planned pool in one program: the operator's table and the deployment's settings as rules."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from garnethaven.connections.planner import Rules, Server
+from garnethaven.connections.pool import PlannedPool
+from garnethaven.connections.table import Connections
+from garnethaven.engine.engine import S
+from garnethaven.feature import Feature
+from garnethaven.interface import Settings
+from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.parts import Parts
+
+
+def rules_of(table: Connections, settings: Settings) -> Rules:
+    return Rules(
+        opens_per_s=table.opens_per_s,
+        accepts=table.accepts,
+        fleet_size=max(1, settings.fleet_size),
+        idle_s=settings.conn_idle / S,
+        dial_timeout_s=(settings.dial_timeout or S) / S,
+        age_s=table.age_s,
+        requests_most=table.requests_most,
+        ahead=table.ahead,
+    )
+
+
+class ConnectionsFeature(Feature[Connections, Parts]):
+    name = "connections"
+
+    def __init__(self, table: Connections, parts: Parts) -> None:
+        super().__init__(table, parts)
+        self.pool: PlannedPool | None = None
+        if table.plan:
+            parts.make_pool = self._make
+
+    def _make(
+        self, loop: asyncio.AbstractEventLoop, limit: Callable[[], int], idle_s: float, memory: AnswerMemory
+    ) -> PlannedPool:
+        rules = rules_of(self.table, self.parts.engine.settings)
+        self.pool = PlannedPool(loop, limit, idle_s, memory, rules, self._server, self.parts.config.seed)
+        return self.pool
+
+    def _server(self, endpoint: int) -> Server:
+        """What the module thinks of a server."""
+        return Server(*self.parts.engine.balancer.standing(endpoint))
+
+    def renewed(self) -> None:
+        if self.pool is not None:
+            self.pool.set_rules(rules_of(self.table, self.parts.engine.settings))
+
+
+FEATURE = ConnectionsFeature
--- a/garnethaven/connections/planner.py
+++ b/garnethaven/connections/planner.py
@@ -24,12 +24,12 @@
 from enum import Enum
 from random import Random
 
+from garnethaven.addresses import Address
 from garnethaven.connections.ahead import Ahead
 from garnethaven.connections.caps import Cap
 from garnethaven.connections.demand import Demand
 from garnethaven.connections.idle_limits import IdleLimits
 from garnethaven.connections.pacing import Pace
-from garnethaven.net.config import Address
 
 DIAL_MEMORY = 8  # dials over which their usual time is smoothed
 WAIT_LEAST_S = 0.005
--- a/garnethaven/connections/pool.py
+++ b/garnethaven/connections/pool.py
@@ -19,10 +19,10 @@
 from collections.abc import Callable
 from random import Random
 
+from garnethaven.addresses import Address
 from garnethaven.connections.idle_limits import IdleLimits
 from garnethaven.connections.planner import Held, Plan, Rules, Server, Way
 from garnethaven.limits.budgets import AnswerMemory
-from garnethaven.net.config import Address
 from garnethaven.net.upstream import Connection, Exchange, Pool, Target
 
 LOOK_S = 0.1  # between two looks at what to open and to close
--- a/garnethaven/extproc/front.py
+++ b/garnethaven/extproc/front.py
@@ -21,6 +21,7 @@
 import grpc.aio
 from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
 
+from garnethaven.addresses import Address
 from garnethaven.backlog import emptied, listening_at
 from garnethaven.engine.calls import Call
 from garnethaven.engine.classes import Classes
@@ -28,11 +29,10 @@
 from garnethaven.extproc.answers import SERVED, VALID, go_on, headers_of, immediate, send_to
 from garnethaven.extproc.mapping import CHECKED, TOKEN, Mapped, MappingError, map_request, outcome_of
 from garnethaven.extproc.report import ReportAttempt, ReportTransport
+from garnethaven.extproc.table import ExternalProcessor
 from garnethaven.extproc.tokens import Flaw, Proof, Tokens
 from garnethaven.interface import Outcome, Prior
-from garnethaven.net.config import Address
 from garnethaven.net.transport import HttpTransport
-from garnethaven.operator import ExternalProcessor
 
 SERVICE = "envoy.service.ext_proc.v3.ExternalProcessor"
 LAG_EVERY_S = 0.05
@@ -197,12 +197,10 @@
         self.server: grpc.aio.Server | None = None
         self.port = 0
 
-    def renew(self, operator: ExternalProcessor) -> bool:
-        """Take over the table as it is now; false where its address has changed: that waits for a restart."""
-        same = operator.listen == self.operator.listen
+    def renew(self, operator: ExternalProcessor) -> None:
+        """Take over the table as it is now; its address stays until a restart."""
         self.tokens = Tokens(operator.keys, self.tokens.valid_ms)
         self.operator = operator
-        return same
 
     async def start(self, address: Address) -> Front:
         server = grpc.aio.server(
--- a/garnethaven/extproc/mapping.py
+++ b/garnethaven/extproc/mapping.py
@@ -12,8 +12,8 @@
 
 from garnethaven.engine.classes import Classes, key_of
 from garnethaven.engine.outcomes import outcome_of as status_outcome
+from garnethaven.extproc.table import Route
 from garnethaven.interface import Outcome
-from garnethaven.operator import Route
 
 MS = 1_000_000
 ID_MOST = 256
--- a/garnethaven/extproc/tokens.py
+++ b/garnethaven/extproc/tokens.py
@@ -29,7 +29,7 @@
 from enum import Enum
 from functools import lru_cache
 
-from garnethaven.operator import KEY_LEAST
+KEY_LEAST = 16  # bytes of a secret
 
 VERSION = 1
 HEAD = struct.Struct(">BBQQHB")  # version, key's mark, sent at, rack, zone, length of the server's name
--- a/garnethaven/grpcs/front.py
+++ b/garnethaven/grpcs/front.py
@@ -17,7 +17,6 @@
 import asyncio
 import contextlib
 import ssl
-from dataclasses import replace
 from itertools import count
 from typing import cast
 
@@ -36,6 +35,7 @@
 from h2.exceptions import H2Error, ProtocolError
 from h2.settings import SettingCodes
 
+from garnethaven.addresses import Address
 from garnethaven.backlog import duplicate, emptied
 from garnethaven.engine.calls import Call
 from garnethaven.engine.classes import Classes
@@ -58,10 +58,9 @@
 )
 from garnethaven.grpcs.routes import Routes
 from garnethaven.grpcs.streams import Sender
+from garnethaven.grpcs.table import Grpc, GrpcRoute
 from garnethaven.grpcs.transport import CONNECTION_WINDOW, WINDOW, GrpcAttempt, GrpcTransport
 from garnethaven.interface import Outcome, StreamBegan
-from garnethaven.net.config import Address
-from garnethaven.operator import Grpc, GrpcRoute
 
 REPLAY_MOST = 64 * 1024
 HOLD_MOST = 64 * 1024
@@ -535,17 +534,10 @@
         self.closing = False
         self.calm: asyncio.Future[None] | None = None
 
-    def renew(self, operator: Grpc) -> bool:
-        """Take over routes and times; false where something else has changed, which waits for a restart."""
-        taken = replace(
-            self.operator,
-            routes=operator.routes,
-            default=operator.default,
-            stream_most_s=operator.stream_most_s,
-        )
+    def renew(self, operator: Grpc) -> None:
+        """Take over routes and times; what else there is stays until a restart."""
         self.routes = Routes(operator.routes, operator.default)
-        self.operator = taken
-        return taken == operator
+        self.operator = operator
 
     async def start(self, address: Address) -> Front:
         tls = server_tls(self.operator) if self.operator.cert else None
--- a/garnethaven/grpcs/routes.py
+++ b/garnethaven/grpcs/routes.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from garnethaven.operator import GrpcRoute
+from garnethaven.grpcs.table import GrpcRoute
 
 
 class Routes:
--- /dev/null
+++ b/garnethaven/grpcs/table.py
@@ -0,0 +1,49 @@
+"""The operator's table `[grpc]`."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import field
+
+from garnethaven.tables import At, Table, WrongFieldError, bounded, said
+
+
+class GrpcRoute(Table, frozen=True):
+    """One rule of the operator's for gRPC methods."""
+
+    path: Annotated[str, said("a service (`/pkg.Service/`) or a method; the longest that fits counts")]
+    grade: Annotated[str, said("the class of its calls", "class")] = field(name="class")
+    streams: Annotated[bool, said("its answers are passed on as they come")] = False
+    keyed: Annotated[bool, said("its servers drop repeats by the call id")] = False
+
+    def __post_init__(self) -> None:
+        if self.path and not self.path.startswith("/"):
+            raise WrongFieldError("path", f"does not begin with /: {self.path!r}")
+
+
+class Grpc(Table, frozen=True):
+    """gRPC beside HTTP/1.1; on where `listen` is set."""
+
+    listen: Annotated[
+        At | None,
+        said("where clients connect: HTTP/2 with prior knowledge, or TLS", "address:port", waits=True),
+    ] = None
+    port_offset: Annotated[
+        int,
+        bounded(-20_000, 20_000, "added to a server's listed port for its gRPC port", "ports", waits=True),
+    ] = 0
+    default: Annotated[str, said("of methods that no route names; without it `UNIMPLEMENTED`", "class")] = ""
+    stream_most_s: Annotated[
+        int, bounded(1, 86_400, "the longest that a call of a streaming route may last", "seconds")
+    ] = 3_600
+    cert: Annotated[str, said("with it clients must use TLS, with ALPN `h2`", "PEM file", waits=True)] = ""
+    key: Annotated[str, said("the key of `cert`", "PEM file", waits=True)] = ""
+    server_ca: Annotated[
+        str,
+        said("servers are asked over TLS; their certificates carry their addresses", "PEM file", waits=True),
+    ] = ""
+    routes: Annotated[tuple[GrpcRoute, ...], said("the classes of methods", "tables")] = ()
+
+
+TABLE = Grpc
--- a/garnethaven/grpcs/transport.py
+++ b/garnethaven/grpcs/transport.py
@@ -29,6 +29,7 @@
 from h2.exceptions import H2Error, ProtocolError
 from h2.settings import SettingCodes
 
+from garnethaven.addresses import Address
 from garnethaven.engine.calls import Call
 from garnethaven.engine.engine import Engine, S
 from garnethaven.grpcs.goaway import GoAway, Splitter
@@ -36,7 +37,6 @@
 from garnethaven.grpcs.mapping import Headers, reset_outcome
 from garnethaven.grpcs.streams import Sender
 from garnethaven.interface import Outcome, Send, State
-from garnethaven.net.config import Address
 
 STREAMS_MOST = 1000  # on a connection, whatever the server allows
 WINDOW = 64 * 1024
--- a/garnethaven/net/limits_view.py
+++ b/garnethaven/limits/front.py
@@ -11,8 +11,7 @@
 import json
 from collections.abc import Callable
 
-from garnethaven.limits.view import Figures, report
-from garnethaven.net.config import Address
+from garnethaven.addresses import Address
 
 MOST = 4  # connections at once; more are closed unheard
 HEAD_LIMIT = 4096
@@ -22,8 +21,8 @@
 class LimitsView:
     """Serves the view until `close`; raises OSError from `start` where its address can't be had."""
 
-    def __init__(self, figures: Callable[[], Figures]) -> None:
-        self.figures = figures
+    def __init__(self, report: Callable[[], dict[str, object]]) -> None:
+        self.report = report
         self.open = 0
         self.server: asyncio.Server | None = None
         self.address: Address | None = None
@@ -64,7 +63,7 @@
             return answer(405, b"")
         if words[1] != b"/-/limits":
             return answer(404, b"")
-        return answer(200, json.dumps(report(self.figures()), indent=1).encode() + b"\n")
+        return answer(200, json.dumps(self.report(), indent=1).encode() + b"\n")
 
 
 PHRASES = {
--- /dev/null
+++ b/garnethaven/limits/table.py
@@ -0,0 +1,33 @@
+"""The operator's table `[limits]`."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from garnethaven.limits.lists import WAIT_MOST_S
+from garnethaven.limits.places import CALM_WAIT_S
+from garnethaven.tables import At, Table, bounded, said
+
+
+class Limits(Table, frozen=True):
+    """What bounds clients and lists."""
+
+    view: Annotated[At | None, said("where `GET /-/limits` is answered", "address:port", waits=True)] = None
+    client_places: Annotated[
+        int,
+        bounded(
+            1,
+            1_000_000,
+            "what clients hold on their own side; a third of the descriptors if left out",
+            "connections",
+        ),
+    ] = 0
+    calm_idle_s: Annotated[
+        float, bounded(0.5, 3600, "how long an idle connection is kept while places are plenty", "seconds")
+    ] = CALM_WAIT_S
+    watch_most_s: Annotated[
+        float, bounded(2, 60, "the longest that a watch of discovery may wait", "seconds")
+    ] = WAIT_MOST_S
+
+
+TABLE = Limits
--- a/garnethaven/net/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -12,11 +12,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from garnethaven.addresses import Address, parse_address
+from garnethaven.config import Config
 from garnethaven.engine.engine import MS, Engine, S
 from garnethaven.interface import Endpoint, ListKind, Membership, Outcome, State
 from garnethaven.limits.budgets import AnswerMemory
 from garnethaven.limits.lists import DOUBLE_S, GIVE_UP_S, WAIT_MOST_S, Evidence, FreshList, Verdict
-from garnethaven.net.config import Address, Config, parse_address
 from garnethaven.net.transport import HttpTransport
 from garnethaven.net.upstream import Answer, Exchange, Pool, Target
 from garnethaven.settings import numbered
--- /dev/null
+++ b/garnethaven/membership/feature.py
@@ -0,0 +1,51 @@
+"""The table `[membership]` at work: the sources beside discovery, and what they tell of themselves."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from garnethaven.feature import Feature
+from garnethaven.membership.sources import Sources
+from garnethaven.membership.table import Membership
+from garnethaven.parts import Parts
+
+
+class MembershipFeature(Feature[Membership, Parts]):
+    name = "membership"
+    sources: Sources | None = None
+
+    def prepare(self) -> None:
+        if self.table.registries():
+            parts = self.parts
+            self.sources = Sources(
+                self.table, parts.config, parts.loop, parts.transport.learn, parts.engine.log
+            )
+            parts.learn = self.sources.merger.from_discovery
+
+    async def open(self) -> None:
+        if self.sources is not None:
+            self.sources.start()
+
+    def renew(self, wanted: Membership) -> list[str]:
+        """Registries are taken over; whether there are any, and which, waits for a restart."""
+        before = self.table.registries()
+        if set(before) != set(wanted.registries()):
+            return ["membership"]
+        waiting = super().renew(wanted)
+        if self.sources is not None:
+            self.sources.reload(self.table)
+        return waiting
+
+    async def withdraw(self) -> None:
+        if self.sources is not None:
+            await self.sources.withdraw()
+
+    async def close(self) -> None:
+        if self.sources is not None:
+            await self.sources.close()
+
+    def figures(self) -> dict[str, Any]:
+        return self.sources.figures() if self.sources is not None else {}
+
+
+FEATURE = MembershipFeature
--- a/garnethaven/membership/merger.py
+++ b/garnethaven/membership/merger.py
@@ -9,11 +9,11 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
+from garnethaven.addresses import Address
 from garnethaven.interface import Endpoint, ListKind, State
 from garnethaven.membership.batches import Batches
 from garnethaven.membership.model import Fact, Model
-from garnethaven.membership.settings import DISCOVERY
-from garnethaven.net.config import Address
+from garnethaven.membership.table import DISCOVERY
 
 Entries = list[tuple[Endpoint, Address | None]]
 Learn = Callable[[ListKind, Entries], None]
--- a/garnethaven/membership/model.py
+++ b/garnethaven/membership/model.py
@@ -33,8 +33,8 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
+from garnethaven.addresses import Address
 from garnethaven.interface import Endpoint, State
-from garnethaven.net.config import Address
 
 
 class Reason(Enum):
--- a/garnethaven/membership/payloads.py
+++ b/garnethaven/membership/payloads.py
@@ -19,9 +19,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from garnethaven.addresses import Address
 from garnethaven.interface import Endpoint, State
 from garnethaven.membership.model import Fact
-from garnethaven.net.config import Address
 
 MS = 1_000_000
 PAYLOAD_MOST = 64 * 1024  # bytes; a larger one is no server's
--- a/garnethaven/membership/sources.py
+++ b/garnethaven/membership/sources.py
@@ -1,16 +1,46 @@
-"""All that the operator's table switches on, put together: the merger and the sources that feed it."""
+"""The registries that the operator's table switches on, with the merger that they feed."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import importlib
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
 
+from garnethaven.addresses import Address
+from garnethaven.config import Config
 from garnethaven.membership.merger import Learn, Merger
-from garnethaven.membership.settings import Membership
-from garnethaven.membership.source import RegistrySource
-from garnethaven.net.config import Config
+from garnethaven.membership.table import Membership
 from garnethaven.settings import numbered
 
+Names = tuple[Mapping[str, int], Mapping[str, int]]  # the module's numbers of zones and of kinds
+
+
+class Source(Protocol):
+    """One registry that is followed. Its errors are logged, at a bounded rate, and never raised."""
+
+    def start(self) -> None: ...
+    def registers(self, address: Address) -> None: ...
+    async def withdraw(self) -> None: ...
+    def reload(self, settings: Any, address: Address) -> None: ...
+    async def close(self) -> None: ...
+    def figures(self) -> dict[str, object]: ...
+
+
+def source_of(
+    name: str,
+    settings: Any,
+    merger: Merger,
+    loop: asyncio.AbstractEventLoop,
+    seed: int,
+    names: Names,
+    log: Callable[[str], None],
+) -> Source:
+    """The source of a registry's kind; each is in a package of its own, imported where it is switched on."""
+    module = importlib.import_module(f"garnethaven.membership.{name}.source")
+    made: Source = module.SOURCE(settings, merger, loop, seed, names, log)
+    return made
+
 
 class Sources:
     """Made before discovery starts, for its lists go through the merger too; `start` opens connections."""
@@ -23,28 +53,36 @@
         learn: Learn,
         log: Callable[[str], None],
     ) -> None:
-        assert settings.zookeeper is not None
         self.settings = settings
         self.address = config.listen
         self.merger = Merger(settings.precedence, loop, learn)
         names = numbered(config.names.zones), numbered(config.names.kinds)
-        self.registry = RegistrySource(settings.zookeeper, self.merger, loop, config.seed, names, log)
+        self.registries = {
+            name: source_of(name, table, self.merger, loop, config.seed, names, log)
+            for name, table in settings.registries().items()
+        }
 
     def start(self) -> None:
-        """The program is ready: follow the registry, and register where that is wanted."""
-        self.registry.registers(self.address)
-        self.registry.start()
+        """The program is ready: follow the registries, and register where that is wanted."""
+        for source in self.registries.values():
+            source.registers(self.address)
+            source.start()
 
     async def withdraw(self) -> None:
-        await self.registry.withdraw()
+        await asyncio.gather(*(source.withdraw() for source in self.registries.values()))
 
-    def reload(self, settings: Membership | None) -> list[str]:
-        """Take over the table as it is now; the names of what waits for a restart."""
-        if settings is None or settings.zookeeper is None:
-            return ["membership"]
-        self.registry.reload(settings.zookeeper, self.address)
-        return ["membership.precedence"] if settings.precedence != self.settings.precedence else []
+    def reload(self, settings: Membership) -> None:
+        """Follow what the tables say now; the same kinds of registries as before."""
+        self.settings = settings
+        for name, table in settings.registries().items():
+            self.registries[name].reload(table, self.address)
 
     async def close(self) -> None:
-        await self.registry.close()
+        for source in self.registries.values():
+            await source.close()
         self.merger.close()
+
+    def figures(self) -> dict[str, object]:
+        """What is known of each registry, and how many servers stand in the merged list."""
+        told: dict[str, object] = {"members": len(self.merger.model.members)}
+        return told | {name: source.figures() for name, source in self.registries.items()}
--- /dev/null
+++ b/garnethaven/membership/zookeeper/__init__.py
@@ -0,0 +1,1 @@
+"""A registry of ephemeral nodes, over the ZooKeeper protocol."""
--- a/garnethaven/membership/client.py
+++ b/garnethaven/membership/zookeeper/client.py
@@ -11,9 +11,9 @@
 import ssl
 from typing import Protocol, cast
 
-from garnethaven.membership.hosts import Hosts
-from garnethaven.membership.records import Op
-from garnethaven.membership.session import Began, Event, Expired, Left, Resumed, Session, State
+from garnethaven.membership.zookeeper.hosts import Hosts
+from garnethaven.membership.zookeeper.records import Op
+from garnethaven.membership.zookeeper.session import Began, Event, Expired, Left, Resumed, Session, State
 
 DIAL_MOST_S = 2.0
 CLOSE_S = 1.0  # for the end of a session to be confirmed
--- a/garnethaven/membership/following.py
+++ b/garnethaven/membership/zookeeper/following.py
@@ -22,11 +22,11 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
-from garnethaven.membership import records
 from garnethaven.membership.model import Fact
 from garnethaven.membership.payloads import Payload, PayloadError
-from garnethaven.membership.records import RECURSIVE, Code, Kind, Op, Reader, Stat
-from garnethaven.membership.session import Event, Noticed, Replied
+from garnethaven.membership.zookeeper import records
+from garnethaven.membership.zookeeper.records import RECURSIVE, Code, Kind, Op, Reader, Stat
+from garnethaven.membership.zookeeper.session import Event, Noticed, Replied
 
 READS_MOST = 64  # under way at a time: enough to fill the connection, few enough to let events through
 MEMBERS_MOST = 20_000
--- a/garnethaven/membership/registration.py
+++ b/garnethaven/membership/zookeeper/registration.py
@@ -16,12 +16,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from garnethaven.membership import records
-from garnethaven.membership.client import Client
 from garnethaven.membership.payloads import written
-from garnethaven.membership.records import Code, Op, Reader, RecordError
-from garnethaven.membership.session import Event, Lost, Replied
-from garnethaven.membership.settings import Registration
+from garnethaven.membership.table import Registration
+from garnethaven.membership.zookeeper import records
+from garnethaven.membership.zookeeper.client import Client
+from garnethaven.membership.zookeeper.records import Code, Op, Reader, RecordError
+from garnethaven.membership.zookeeper.session import Event, Lost, Replied
 
 TRIES_MOST = 5  # at one session, so that two programs that claim one path do not fight without end
 
--- a/garnethaven/membership/session.py
+++ b/garnethaven/membership/zookeeper/session.py
@@ -25,8 +25,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from garnethaven.membership import records
-from garnethaven.membership.records import (
+from garnethaven.membership.zookeeper import records
+from garnethaven.membership.zookeeper.records import (
     AUTH_XID,
     FRAME_MOST,
     INT,
--- a/garnethaven/membership/source.py
+++ b/garnethaven/membership/zookeeper/source.py
@@ -9,19 +9,21 @@
 import contextlib
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import replace
 from random import Random
 
+from msgspec.structs import replace
+
 from garnethaven.membership.cache import Cache
-from garnethaven.membership.client import Client
-from garnethaven.membership.following import Following, Told
-from garnethaven.membership.hosts import Hosts
 from garnethaven.membership.merger import Merger
 from garnethaven.membership.payloads import MS, Payload
-from garnethaven.membership.records import RecordError
-from garnethaven.membership.registration import Register
-from garnethaven.membership.session import Event, Session
-from garnethaven.membership.settings import ZOOKEEPER, Registry
+from garnethaven.membership.table import ZOOKEEPER, ZooKeeper
+from garnethaven.membership.zookeeper.client import Client
+from garnethaven.membership.zookeeper.following import Following, Told
+from garnethaven.membership.zookeeper.hosts import Hosts
+from garnethaven.membership.zookeeper.records import RecordError
+from garnethaven.membership.zookeeper.registration import Register
+from garnethaven.membership.zookeeper.session import Event, Session
+from garnethaven.tables import At
 
 RETRY_S = 1.0  # before a directory that could not be followed is tried again
 LINE_S = 5.0  # between two log lines of one kind
@@ -35,7 +37,7 @@
 
     def __init__(
         self,
-        settings: Registry,
+        settings: ZooKeeper,
         merger: Merger,
         loop: asyncio.AbstractEventLoop,
         seed: int,
@@ -58,13 +60,13 @@
         self.cache = Cache(settings.cache, loop, log, self.clock_offset) if settings.cache else None
         self._set_up(settings)
 
-    def _set_up(self, settings: Registry) -> None:
+    def _set_up(self, settings: ZooKeeper) -> None:
         self.settings = settings
         self.generation += 1
         self.settled = False  # whether what an earlier life or another directory told has been replaced
         payload = Payload(settings.rules, self.zones, self.kinds, self._local)
         self.following = Following(settings.root, payload, settings.persistent)
-        session = Session(settings.session_timeout_ms, settings.digest, settings.read_only)
+        session = Session(settings.session_timeout_ms, settings.digest or None, settings.read_only)
         self.client = Client(
             self.loop,
             session,
@@ -94,8 +96,8 @@
             self.register = None
             return
         if wanted.address is None:
-            wanted = replace(wanted, address=address)
-        self.register = Register(wanted, self.settings.digest, self.client, self.log)
+            wanted = replace(wanted, address=At(address))
+        self.register = Register(wanted, self.settings.digest or None, self.client, self.log)
         if self.client.up_at:
             self.register.up()
             self.client.flush()
@@ -105,7 +107,7 @@
         if self.register is not None:
             await self.register.withdraw()
 
-    def reload(self, settings: Registry, address: tuple[str, int]) -> None:
+    def reload(self, settings: ZooKeeper, address: tuple[str, int]) -> None:
         """Follow what the table says now. What is known stays until the new directory has been read whole."""
         if settings == self.settings:
             return
@@ -208,6 +210,10 @@
             self.said_at[kind] = now
             self.log(text)
 
+    def figures(self) -> dict[str, object]:
+        known = len(self.merger.model.sources[ZOOKEEPER].facts)
+        return {"servers": known, "age_s": round(self.age_s(), 3), "troubles": self.troubles}
+
     def _keep(self) -> None:
         assert self.cache is not None
         if self.settled:
@@ -239,3 +245,6 @@
     def event(self, event: Event) -> None:
         if self._now():
             self.source.event(event)
+
+
+SOURCE = RegistrySource
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -12,14 +12,13 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from garnethaven.backlog import LOOK_S, stop_arrivals, waiting
+from garnethaven.config import Config
 from garnethaven.engine.calls import Call
 from garnethaven.engine.classes import Classes, key_of
 from garnethaven.engine.engine import MS, Engine
-from garnethaven.limits.places import FIRST_S, Places, Usage
-from garnethaven.net.config import Config
+from garnethaven.limits.places import CALM_WAIT_S, FIRST_S, Places, Usage
 from garnethaven.net.transport import HttpRequest, HttpTransport
 from garnethaven.net.upstream import Answer, Header
-from garnethaven.operator import Limits
 
 HEAD_LIMIT = 32 * 1024
 BODY_LIMIT = 64 * 1024
@@ -55,8 +54,6 @@
 DRAIN_BACKLOG_S = 1.0  # for what has arrived but finds no place, once no more may arrive
 DRAIN_READ_S = 1.4  # then a request that is still being written is given up
 
-DEFAULT_LIMITS = Limits()
-
 PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -507,7 +504,6 @@
         transport: HttpTransport,
         loop: asyncio.AbstractEventLoop,
         limit: Callable[[], int],
-        limits: Limits = DEFAULT_LIMITS,
     ) -> None:
         self.engine = engine
         self.transport = transport
@@ -516,7 +512,7 @@
         self.limit = limit  # the most connections just now
         self.clients_part = config.sockets // CLIENTS_PART
         self.places = Places(limit(), self.clients_part)
-        self.set_limits(limits)
+        self.set_limits()
         self.connections: set[ClientConnection] = set()
         self.never_asked = 0  # of those
         self.leaving: set[ClientConnection] = set()  # of those, closed and about to be gone
@@ -637,10 +633,10 @@
             self._ease(now)
         self._listen()  # where it waits for places: silent ones can be closed by now
 
-    def set_limits(self, limits: Limits) -> None:
-        """Take over an operator's settings, also while connections are open."""
-        self.calm_idle_s = limits.calm_idle_s
-        self.places.resize(self.limit(), limits.client_places or self.clients_part, limits.calm_idle_s)
+    def set_limits(self, client_places: int = 0, calm_idle_s: float = CALM_WAIT_S) -> None:
+        """Take over an operator's settings, also while connections are open; 0 places: not told."""
+        self.calm_idle_s = calm_idle_s
+        self.places.resize(self.limit(), client_places or self.clients_part, calm_idle_s)
 
     def held(self) -> int:
         """The connections that take a place here or on the clients' side."""
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from garnethaven.addresses import Address
 from garnethaven.engine.calls import Call
 from garnethaven.engine.engine import MS, Engine, S
 from garnethaven.engine.outcomes import outcome_of
@@ -23,7 +24,6 @@
     State,
 )
 from garnethaven.limits.budgets import AnswerMemory
-from garnethaven.net.config import Address
 from garnethaven.net.upstream import Answer, Exchange, Pool, Target
 
 PROBE_LIMIT = S
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -16,8 +16,8 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from garnethaven.addresses import Address
 from garnethaven.limits.budgets import AnswerMemory
-from garnethaven.net.config import Address
 
 Header = tuple[bytes, bytes]
 
--- a/rigs/ephemeral.py
+++ b/rigs/ephemeral.py
@@ -20,8 +20,9 @@
 from standins.clients import Habits
 from standins.ledger import Life
 from standins.platform import AIM_S
-from standins.zookeeper.ensemble import Ensemble, Session
+from standins.zookeeper.ensemble import Ensemble
 from standins.zookeeper.records import Kind
+from standins.zookeeper.sessions import Session
 
 SERVERS = 16
 RATE = 100.0  # of each of three applications
--- a/standins/zookeeper/ensemble.py
+++ b/standins/zookeeper/ensemble.py
@@ -21,24 +21,16 @@
 import ssl
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from standins.zookeeper.host import Host
 from standins.zookeeper.records import ANYONE, Kind
+from standins.zookeeper.sessions import Session
 from standins.zookeeper.tree import EPHEMERAL, Change, Tree, Who
 
 LOOK_S = 0.02
 TIMEOUT_LEAST_MS, TIMEOUT_MOST_MS = 200, 40_000
 
 
-@dataclass
-class Session:
-    id: int
-    password: bytes
-    timeout_ms: int
-    heard_at: float = field(default_factory=time.monotonic)
-
-
 class Ensemble:
     """`on_told(session, kind, path, at)` is called after an event's bytes have been written to a client, and
     `on_listed(session, path, names, at)` after a reply that tells a node's children."""
@@ -69,6 +61,10 @@
         for host in self.hosts:
             await host.tasks_ended()
 
+    @property
+    def members(self) -> list[Host]:
+        return self.hosts
+
     def addresses(self) -> list[str]:
         return [f"127.0.0.1:{host.port}" for host in self.hosts]
 
--- a/standins/zookeeper/host.py
+++ b/standins/zookeeper/host.py
@@ -7,17 +7,14 @@
 import ssl
 import struct
 import time
-from typing import TYPE_CHECKING
 
 from standins.zookeeper import records
 from standins.zookeeper.records import BOOL, INT, LONG, REPLY, Code, Kind, Op, Reader, RequestError, frame
 from standins.zookeeper.requests import WRITES, Asked, answer, with_identity
+from standins.zookeeper.sessions import Keeper, Session
 from standins.zookeeper.tree import Change, Tree, Who
 from standins.zookeeper.watches import Watches
 
-if TYPE_CHECKING:
-    from standins.zookeeper.ensemble import Ensemble, Session
-
 EVENT_XID = -1
 CONNECTED = 3
 BUFFER_MOST = 4 * 1024 * 1024  # that a client which does not read may leave with us
@@ -64,7 +61,7 @@
 
 
 class Host:
-    def __init__(self, ensemble: Ensemble, tls: ssl.SSLContext | None) -> None:
+    def __init__(self, ensemble: Keeper, tls: ssl.SSLContext | None) -> None:
         self.ensemble = ensemble
         self.tls = tls
         self.port = 0
@@ -185,7 +182,7 @@
         if session_id:
             session = ensemble.resume(session_id, password)
             if session is not None:
-                for host in ensemble.hosts:
+                for host in ensemble.members:
                     host.cut(session_id)  # it has moved here
         else:
             session = ensemble.begin(timeout)
--- a/tests/connections/test_settings.py
+++ b/tests/connections/test_settings.py
@@ -9,10 +9,11 @@
 import pytest
 
 from garnethaven import __main__ as program
+from garnethaven.app.operator import OperatorError, read_operator
+from garnethaven.app.sidecar import Sidecar
 from garnethaven.connections.pool import PlannedPool
-from garnethaven.net.sidecar import Sidecar
+from garnethaven.connections.table import Connections
 from garnethaven.net.upstream import Pool
-from garnethaven.operator import Connections, Operator, OperatorError, read_operator
 from standins.platform import free_port
 from tests.loopback import config_file, run
 from tests.rigs.test_rigs import imported_at_start, play
@@ -25,7 +26,8 @@
 
 
 def test_the_example_is_good() -> None:
-    told = read_operator(str(ROOT / "deploy" / "examples" / "connections.toml")).connections
+    told = read_operator(str(ROOT / "deploy" / "examples" / "connections.toml"))["connections"]
+    assert isinstance(told, Connections)
     assert told.plan and told.ahead and told.opens_per_s == 40.0
 
 
@@ -54,15 +56,14 @@
     async def case() -> None:
         path = config_file(tmp_path / "config", listen=f"127.0.0.1:{free_port()}")
         config = program.read_config({"NODE_CONFIG": str(path)})
-        before = Operator(connections=Connections(plan=True))
-        sidecar = Sidecar(config, before, asyncio.get_running_loop())
+        sidecar = Sidecar(config, {"connections": Connections(plan=True)}, asyncio.get_running_loop())
         pool = sidecar.transport.pool
         assert isinstance(pool, PlannedPool)
-        halved = replace(before, connections=replace(before.connections, accepts=185, opens_per_s=20.0))
+        halved = {"connections": Connections(plan=True, accepts=185, opens_per_s=20.0)}
         assert sidecar.reload(config, halved) == []
         assert (pool.rules.accepts, pool.rules.opens_per_s) == (185, 20.0)
-        assert sidecar.reload(config, Operator()) == ["connections.plan"]
-        off = Sidecar(replace(config, listen=("127.0.0.1", free_port())), Operator(), sidecar.loop)
+        assert sidecar.reload(config, {}) == ["connections.plan"]
+        off = Sidecar(replace(config, listen=("127.0.0.1", free_port())), {}, sidecar.loop)
         assert type(off.transport.pool) is Pool
         for one in (sidecar, off):
             one.drain()
--- a/tests/extproc/test_front.py
+++ b/tests/extproc/test_front.py
@@ -14,11 +14,11 @@
 import pytest
 from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
 
+from garnethaven.addresses import parse_address
 from garnethaven.extproc.front import MESSAGE_MOST, Front
 from garnethaven.extproc.report import ReportAttempt
+from garnethaven.extproc.table import ExternalProcessor
 from garnethaven.interface import ListKind
-from garnethaven.net.config import parse_address
-from garnethaven.operator import ExternalProcessor
 from standins.ledger import Ledger
 from standins.proxy import ATTEMPTS, TOKEN, UNUSED, VALID, Asked, Proxy, Ways, headers_message
 from tests.loopback import ANSWER, Peer, Sidecar, read_message, request, run, running, says, until
--- a/tests/extproc/test_off_and_on.py
+++ b/tests/extproc/test_off_and_on.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from garnethaven.operator import OperatorError, Route, read_operator
+from garnethaven.app.operator import OperatorError, read_operator
+from garnethaven.extproc.table import ExternalProcessor, Route
 from tests.rigs.test_rigs import imported_at_start, play
 
 ROOT = Path(__file__).parent.parent.parent
@@ -14,13 +15,14 @@
 
 def test_nothing_of_it_is_imported_where_it_is_off() -> None:
     assert (
-        imported_at_start("grpc", "envoy", "google", "garnethaven.extproc", "garnethaven.net.limits_view")
+        imported_at_start("grpc", "envoy", "google", "garnethaven.extproc", "garnethaven.limits.front")
         == "[]"
     )
 
 
 def test_the_example_is_good() -> None:
-    told = read_operator(str(ROOT / "deploy" / "examples" / "external-processor.toml")).external_processor
+    told = read_operator(str(ROOT / "deploy" / "examples" / "external-processor.toml"))["external_processor"]
+    assert isinstance(told, ExternalProcessor)
     assert told.listen == ("127.0.0.1", 9902)
     assert told.routes == (Route("check", "/api", "POST"),)
     assert len(told.keys) == 1
--- a/tests/extproc/test_operation.py
+++ b/tests/extproc/test_operation.py
@@ -4,17 +4,18 @@
 
 import asyncio
 import random
-from dataclasses import replace
 from pathlib import Path
 
 import pytest
 from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
+from msgspec.structs import replace
 
 from garnethaven import __main__ as program
+from garnethaven.app.sidecar import Sidecar
 from garnethaven.extproc.mapping import TOKEN
+from garnethaven.extproc.table import ExternalProcessor, Route
 from garnethaven.interface import Refuse, Request
-from garnethaven.net.sidecar import Sidecar
-from garnethaven.operator import ExternalProcessor, Limits, Operator, Route
+from garnethaven.tables import At, Secret
 from standins.ledger import Ledger
 from standins.platform import free_port
 from standins.proxy import ATTEMPTS, CHECKED, Proxy, Ways, headers_message
@@ -72,7 +73,7 @@
             renewed = replace(
                 before, keys=(b"n" * 16, KEY), valid_ms=77, routes=(Route("check", "/other", ""),)
             )
-            assert front.renew(renewed)
+            front.renew(renewed)
             asked = made.proxy.ask()
             headers = made.headers(x_call_id="c2") | {":path": "/other/x"}
             del headers["x-call-class"]
@@ -81,10 +82,9 @@
             assert (told.valid_s, bool(told.address)) == (0.077, True)
             old = await made.decide(made.proxy.ask(), **{TOKEN: decision.token, "x-call-id": "c1"})
             assert old.checked == "accepted" or old.status == 409  # a rotated key still checks
-            assert front.renew(replace(renewed, keys=(b"n" * 16,)))
+            front.renew(replace(renewed, keys=(b"n" * 16,)))
             gone = await made.decide(made.proxy.ask(), x_call_id="c3", **{TOKEN: decision.token})
             assert gone.checked.startswith("rejected: ")
-            assert not front.renew(replace(renewed, listen=("127.0.0.1", 9)))
 
     run(case())
 
@@ -98,10 +98,10 @@
         )
         config = program.read_config({"NODE_CONFIG": str(tmp_path / "config")})
         file = tmp_path / "operator.toml"
-        operator = Operator(Limits(), ExternalProcessor(listen=("127.0.0.1", 0), keys=(KEY,)))
+        operator = {"external_processor": ExternalProcessor(listen=At(("127.0.0.1", 0)), keys=(Secret(KEY),))}
         sidecar = Sidecar(config, operator, asyncio.get_running_loop())
         await sidecar.start()
-        front = sidecar.processor
+        front = sidecar.features["external_processor"].front  # type: ignore[attr-defined]
         assert front is not None
         file.write_text(
             f'[external_processor]\nlisten = "127.0.0.1:9"\nvalid_ms = 33\nkeys = ["{"ab" * 16}"]\n'
--- a/tests/grpcs/test_mapping.py
+++ b/tests/grpcs/test_mapping.py
@@ -22,8 +22,8 @@
     timeout_text,
 )
 from garnethaven.grpcs.routes import Routes
+from garnethaven.grpcs.table import GrpcRoute
 from garnethaven.interface import Outcome
-from garnethaven.operator import GrpcRoute
 
 MS = 1_000_000
 
--- a/tests/grpcs/test_on_sockets.py
+++ b/tests/grpcs/test_on_sockets.py
@@ -5,17 +5,17 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import replace
 from typing import Any
 
 import grpc
 import grpc.aio
 import pytest
+from msgspec.structs import replace
 
 from garnethaven.grpcs.front import Front
+from garnethaven.grpcs.table import Grpc, GrpcRoute
 from garnethaven.grpcs.transport import GrpcTransport
 from garnethaven.interface import Endpoint, ListKind, State
-from garnethaven.operator import Grpc, GrpcRoute
 from tests.loopback import Sidecar, run, until
 
 UNARY, STREAM, ECHO = "/t.Checks/Unary", "/t.Checks/Stream", "/t.Checks/Echo"
--- a/tests/grpcs/test_servers.py
+++ b/tests/grpcs/test_servers.py
@@ -15,9 +15,9 @@
 
 from garnethaven.grpcs.front import Front
 from garnethaven.grpcs.lines import LINES_MOST, WAITING_MOST, Line, Next, choose
+from garnethaven.grpcs.table import Grpc
 from garnethaven.grpcs.transport import GrpcTransport
 from garnethaven.interface import Endpoint, ListKind
-from garnethaven.operator import Grpc
 from tests.grpcs.raw import DATA, END_HEADERS, END_STREAM, GOAWAY, HEADERS, PREFACE, RST, SETTINGS, frame
 from tests.grpcs.test_on_sockets import ROUTES, UNARY, address_of
 from tests.loopback import Sidecar, run, until
--- a/tests/grpcs/test_settings.py
+++ b/tests/grpcs/test_settings.py
@@ -4,18 +4,20 @@
 
 import asyncio
 import ssl
-from dataclasses import replace
 from pathlib import Path
 
 import grpc
 import grpc.aio
 import pytest
 import trustme
+from msgspec.structs import replace
 
+from garnethaven.app.operator import OperatorError, read_operator
 from garnethaven.engine.classes import Classes
 from garnethaven.grpcs.front import Front
+from garnethaven.grpcs.table import Grpc, GrpcRoute
 from garnethaven.grpcs.transport import GrpcTransport
-from garnethaven.operator import Grpc, GrpcRoute, OperatorError, read_operator
+from garnethaven.tables import At, taken_over
 from tests.grpcs.raw import PREFACE, SETTINGS, frame
 from tests.grpcs.test_on_sockets import ROUTES, UNARY, address_of, ok, stage
 from tests.loopback import ANSWER, run, running, says
@@ -29,7 +31,8 @@
 
 
 def test_the_example_is_good() -> None:
-    told = read_operator(str(ROOT / "deploy" / "examples" / "grpc.toml")).grpc
+    told = read_operator(str(ROOT / "deploy" / "examples" / "grpc.toml"))["grpc"]
+    assert isinstance(told, Grpc)
     assert told.listen == ("127.0.0.1", 9903)
     assert told.routes[0] == GrpcRoute("/checks.v1.Checks/", "check", keyed=True)
     assert told.routes[1].streams
@@ -63,13 +66,13 @@
     async def case() -> None:
         async with stage(ok) as made:
             before = made.front.operator
-            assert made.front.renew(replace(before, routes=()))
+            made.front.renew(replace(before, routes=()))
             assert (await made.unary())[1] == grpc.StatusCode.UNIMPLEMENTED
-            assert made.front.renew(replace(before, routes=(), default="check"))
+            made.front.renew(replace(before, routes=(), default="check"))
             assert (await made.unary())[1] == grpc.StatusCode.OK
-            assert made.front.renew(before)
-            assert not made.front.renew(replace(before, port_offset=5))
-            assert made.front.operator.port_offset == before.port_offset
+            wanted = replace(before, port_offset=5, listen=At(("127.0.0.1", 9)), stream_most_s=7)
+            kept, waiting = taken_over(before, wanted)
+            assert (kept, waiting) == (replace(before, stream_most_s=7), ["listen", "port_offset"])
 
     run(case())
 
--- a/tests/limits/test_on_sockets.py
+++ b/tests/limits/test_on_sockets.py
@@ -8,8 +8,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import replace
 
-from garnethaven.net.discovery import Discovery as Client
-from garnethaven.operator import Limits
+from garnethaven.membership.discovery import Discovery as Client
 from standins.check_server import CheckServer, Rack
 from standins.clients import Allowance, Application, Guests, Habits
 from standins.discovery import Discovery, Mood
@@ -146,7 +145,7 @@
     """Forty of them in turn before 16 places; two usual ones come round all the while."""
 
     async def case() -> None:
-        async with running(says(ANSWER), connections=32, limits=Limits(client_places=16)) as (sidecar, _):
+        async with running(says(ANSWER), connections=32, client_places=16) as (sidecar, _):
             places = sidecar.listener.places
             assert places.most == 16
             usual = [await sidecar.connect() for _ in range(2)]
--- a/tests/limits/test_view.py
+++ b/tests/limits/test_view.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from garnethaven.limits.front import HEAD_LIMIT, MOST, LimitsView
 from garnethaven.limits.view import LINE_EVERY_S, Figures, LogLine, acting, report
-from garnethaven.net.limits_view import HEAD_LIMIT, MOST, LimitsView
 from tests.loopback import read_message, run, until
 
 CALM = Figures(
@@ -79,7 +79,7 @@
 
 def test_the_view_answers_one_path_and_bounds_what_it_reads() -> None:
     async def case() -> None:
-        view = await LimitsView(lambda: replace(CALM, refused_share=0.5)).start(("127.0.0.1", 0))
+        view = await LimitsView(lambda: report(replace(CALM, refused_share=0.5))).start(("127.0.0.1", 0))
         assert view.address is not None
         port = view.address[1]
         head, body = await ask(port, b"GET /-/limits HTTP/1.1\r\nHost: t\r\n\r\n")
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,12 +12,11 @@
 from pathlib import Path
 from typing import Any
 
+from garnethaven.config import Config
 from garnethaven.engine.engine import Engine
-from garnethaven.net.config import Config
-from garnethaven.net.discovery import Discovery
-from garnethaven.net.listener import DEFAULT_LIMITS, Listener
+from garnethaven.membership.discovery import Discovery
+from garnethaven.net.listener import Listener
 from garnethaven.net.transport import HttpTransport
-from garnethaven.operator import Limits
 from garnethaven.settings import read_names, read_settings
 from tests.test_benchlink import FACTS
 
@@ -110,9 +109,7 @@
 
 
 class Sidecar:
-    def __init__(
-        self, members: list[dict[str, Any]], connections: int = 32, limits: Limits = DEFAULT_LIMITS
-    ) -> None:
+    def __init__(self, members: list[dict[str, Any]], connections: int = 32, client_places: int = 0) -> None:
         settings = facts()
         self.config = Config(
             name="t",
@@ -132,7 +129,8 @@
         self.discovery = Discovery(self.config, self.engine, self.transport, loop)
         self.engine.start()
         self.tell(members)
-        self.listener = Listener(self.config, self.engine, self.transport, loop, lambda: connections, limits)
+        self.listener = Listener(self.config, self.engine, self.transport, loop, lambda: connections)
+        self.listener.set_limits(client_places)
         self.port = self.listener.sock.getsockname()[1]
 
     def tell(self, members: list[dict[str, Any]]) -> None:
@@ -152,12 +150,12 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    *scripts: Script, cell: int = 0, connections: int = 32, limits: Limits = DEFAULT_LIMITS
+    *scripts: Script, cell: int = 0, connections: int = 32, client_places: int = 0
 ) -> AsyncIterator[tuple[Sidecar, Any]]:
     """A sidecar before one scripted endpoint for each script, all in one cell."""
     peers = [await Peer(script).start() for script in scripts]
     members = [peer.member(f"s{n}") for n, peer in enumerate(peers)]
-    sidecar = Sidecar(members, connections, limits)
+    sidecar = Sidecar(members, connections, client_places)
     try:
         yield sidecar, peers
     finally:
--- a/tests/membership/test_following.py
+++ b/tests/membership/test_following.py
@@ -8,11 +8,11 @@
 import pytest
 
 from garnethaven.interface import State
-from garnethaven.membership import following, records
-from garnethaven.membership.following import READS_MOST, Ask, Following, Read, Told
 from garnethaven.membership.payloads import Payload, Rules
-from garnethaven.membership.records import STAT, Code, Kind, Op
-from garnethaven.membership.session import Noticed, Replied
+from garnethaven.membership.zookeeper import following, records
+from garnethaven.membership.zookeeper.following import READS_MOST, Ask, Following, Read, Told
+from garnethaven.membership.zookeeper.records import STAT, Code, Kind, Op
+from garnethaven.membership.zookeeper.session import Noticed, Replied
 
 ROOT = "/checks"
 
--- a/tests/membership/test_on_sockets.py
+++ b/tests/membership/test_on_sockets.py
@@ -11,8 +11,7 @@
 import trustme
 
 from garnethaven.interface import Endpoint, ListKind, State
-from garnethaven.membership.payloads import Rules
-from garnethaven.membership.settings import Registration, Tls
+from garnethaven.membership.table import Registration, Tls
 from standins.zookeeper.records import Acl
 from standins.zookeeper.tree import Who, digest_id
 from tests.loopback import run, until
@@ -205,7 +204,7 @@
             made.ensemble.make(f"{ROOT}/lasting", payload(8))
             made.sessions[9] = session
             await made.sees(1, 9)
-            flaws = made.sources.registry.following.flaws
+            flaws = made.source.following.flaws
             await until(lambda: sum(flaws.values()) == 4)
             assert set(flaws) == {
                 "too large",
@@ -253,7 +252,7 @@
             give(ROOT, others)
             for host in made.ensemble.hosts:
                 host.cut()
-            await until(lambda: made.sources.registry.troubles > 0)
+            await until(lambda: made.source.troubles > 0)
             assert made.up() == {1, 2} and made.age_s() > 0.0
             assert any("may not be read" in line for line in made.log)
             tree.nodes[ROOT].acl = (mine,)
@@ -292,9 +291,7 @@
             seen: list[set[int]] = []
             made.sources.merger.changed.append(lambda: seen.append(made.up()))
             old = made.own_session()
-            made.sources.registry.reload(
-                made.registry(root="/other", rules=Rules("curator")), ("127.0.0.1", 1)
-            )
+            made.source.reload(made.registry(root="/other", form="curator"), ("127.0.0.1", 1))
             await made.sees(5)
             assert all(step for step in seen)  # never without servers on the way
             await until(lambda: old not in made.ensemble.sessions)  # the old session was closed
@@ -392,7 +389,7 @@
             made.ensemble.expire(made.own_session())
             assert "/me" not in tree.nodes
             await until(lambda: "/me" in tree.nodes)
-            await until(lambda: made.sources.registry.register.registered)  # type: ignore[union-attr]
+            await until(lambda: made.source.register.registered)
             await made.sources.withdraw()
             assert "/me" not in tree.nodes
             for host in made.ensemble.hosts:
@@ -431,7 +428,7 @@
             for host in made.ensemble.hosts:
                 host.cut()
             await until(lambda: made.client.connects > connects)
-            await until(lambda: made.sources.registry.register.registered)  # type: ignore[union-attr]
+            await until(lambda: made.source.register.registered)
             assert tree.nodes["/me"].stat.czxid == created
 
     run(case())
--- a/tests/membership/test_program.py
+++ b/tests/membership/test_program.py
@@ -5,18 +5,23 @@
 import asyncio
 import json
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from garnethaven import __main__ as program
-from garnethaven.net.sidecar import Sidecar
-from garnethaven.operator import read_operator
+from garnethaven.app.operator import read_operator
+from garnethaven.app.sidecar import Sidecar
 from standins.platform import free_port
 from standins.zookeeper.ensemble import Ensemble
 from tests.loopback import ANSWER, Lists, Peer, config_file, read_message, request, run, says, until
 from tests.rigs.test_rigs import play
 
 
+def registry_of(sidecar: Sidecar) -> Any:
+    return sidecar.features["membership"].sources.registries["zookeeper"]  # type: ignore[attr-defined]
+
+
 class Stage:
     """The program in this process, before peers that are nodes of a registry."""
 
@@ -90,13 +95,15 @@
         )
         stage.write("/other")
         program.reload(stage.sidecar, str(stage.file))
-        await until(lambda: stage.sidecar.membership.registry.settled)  # type: ignore[union-attr]
+        await until(lambda: registry_of(stage.sidecar).settled)
         assert [await stage.ask(f"c{n}") for n in range(6)] == [200] * 6
         assert len(peers[0].requests) == before + 6
         stage.write("/other", "form = 3\n")
         stage.sidecar.engine.logged_at = 0
         program.reload(stage.sidecar, str(stage.file))
-        assert "'membership.zookeeper.form' is not a text" in capsys.readouterr().err
+        assert (
+            "'membership.zookeeper.form' is not one of own, curator, serverset: 3" in capsys.readouterr().err
+        )
         assert await stage.ask("d") == 200
         await stage.end()
 
@@ -149,7 +156,7 @@
         nodes = stage.ensemble.tree.nodes
         await until(lambda: "/me" in nodes)
         assert json.loads(nodes["/me"].data)["host_port"] == f"127.0.0.1:{stage.port}"
-        await until(lambda: stage.sidecar.membership.registry.register.registered)  # type: ignore[union-attr]
+        await until(lambda: registry_of(stage.sidecar).register.registered)
         order: list[str] = []
         drain = stage.sidecar.listener.drain
 
--- a/tests/membership/test_session.py
+++ b/tests/membership/test_session.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from garnethaven.membership import records
-from garnethaven.membership.records import FRAME_MOST, REPLY, Code, Kind, Op, RecordError
-from garnethaven.membership.session import (
+from garnethaven.membership.zookeeper import records
+from garnethaven.membership.zookeeper.records import FRAME_MOST, REPLY, Code, Kind, Op, RecordError
+from garnethaven.membership.zookeeper.session import (
     Began,
     Event,
     Expired,
--- a/tests/membership/test_settings.py
+++ b/tests/membership/test_settings.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from garnethaven.membership.settings import Membership
-from garnethaven.operator import OperatorError, read_operator
+from garnethaven.app.operator import OperatorError, read_operator
+from garnethaven.membership.table import Membership
 from tests.rigs.test_rigs import imported_at_start
 
 ROOT = Path(__file__).parent.parent.parent
@@ -17,18 +17,18 @@
 def read(text: str, tmp_path: Path) -> Membership:
     path = tmp_path / "o.toml"
     path.write_text(text)
-    told = read_operator(str(path)).membership
-    assert told is not None
+    told = read_operator(str(path))["membership"]
+    assert isinstance(told, Membership)
     return told
 
 
 def test_nothing_of_it_is_imported_where_it_is_off() -> None:
-    assert imported_at_start("garnethaven.membership") == "[]"
+    assert imported_at_start("msgspec", "garnethaven.membership.m", "garnethaven.membership.z") == "[]"
 
 
 def test_the_example_is_good() -> None:
-    told = read_operator(str(ROOT / "deploy" / "examples" / "membership.toml")).membership
-    assert told is not None and told.zookeeper is not None
+    told = read_operator(str(ROOT / "deploy" / "examples" / "membership.toml"))["membership"]
+    assert isinstance(told, Membership) and told.zookeeper is not None
     assert len(told.zookeeper.hosts) == 3
     assert told.zookeeper.rules.form == "curator"
     assert told.zookeeper.register is not None
@@ -40,7 +40,7 @@
     assert registry.hosts == (("127.0.0.1", 2181), ("127.0.0.2", 2181))
     assert (registry.session_timeout_ms, registry.digest, registry.tls, registry.register) == (
         6000,
-        None,
+        "",
         None,
         None,
     )
--- a/tests/membership/world.py
+++ b/tests/membership/world.py
@@ -6,16 +6,18 @@
 import contextlib
 import json
 from collections.abc import AsyncIterator
-from dataclasses import replace
 from typing import Any
 
+from msgspec.structs import replace
+
+from garnethaven.config import Config
 from garnethaven.interface import Endpoint, ListKind, State
 from garnethaven.membership.model import number_of
-from garnethaven.membership.settings import Membership, Registry
 from garnethaven.membership.sources import Sources
-from garnethaven.net.config import Config
+from garnethaven.membership.table import Membership, ZooKeeper, ZooKeeperHost
 from garnethaven.settings import read_names, read_settings
-from standins.zookeeper.ensemble import Ensemble, Session
+from standins.zookeeper.ensemble import Ensemble
+from standins.zookeeper.sessions import Session
 from tests.loopback import facts, until
 
 ROOT = "/checks"
@@ -91,9 +93,9 @@
 
     # The program's side
 
-    def registry(self, **changes: Any) -> Registry:
-        hosts = tuple(("127.0.0.1", host.port) for host in self.ensemble.hosts)
-        return replace(Registry(hosts, ROOT, session_timeout_ms=1500, spread_ms=50), **changes)
+    def registry(self, **changes: Any) -> ZooKeeper:
+        hosts = tuple(ZooKeeperHost(("127.0.0.1", host.port)) for host in self.ensemble.hosts)
+        return replace(ZooKeeper(hosts, ROOT, session_timeout_ms=1500, spread_ms=50), **changes)
 
     def follow(self, seed: int = 1, **changes: Any) -> None:
         settings = Membership(zookeeper=self.registry(**changes))
@@ -101,9 +103,13 @@
         self.sources = Sources(settings, config(seed), loop, self.learn, self.log.append)
         self.sources.start()
 
+    @property
+    def source(self) -> Any:
+        return self.sources.registries["zookeeper"]
+
     @property
     def client(self) -> Any:
-        return self.sources.registry.client
+        return self.source.client
 
     def own_session(self) -> int:
         return int(self.client.session.id)
@@ -118,7 +124,7 @@
         )
 
     def age_s(self) -> float:
-        return self.sources.registry.age_s()
+        return self.source.age_s()
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,10 +17,9 @@
 
 import pytest
 
+from garnethaven.config import ConfigError, read_config
 from garnethaven.net import listener as listening
 from garnethaven.net import upstream
-from garnethaven.net.config import ConfigError, read_config
-from garnethaven.operator import Limits
 from standins.platform import free_port
 from tests.loopback import (
     ANSWER,
@@ -114,7 +113,8 @@
 
 def test_an_idle_connection_is_closed_and_leaves_nothing_behind() -> None:
     async def case() -> None:
-        async with running(says(ANSWER), limits=Limits(calm_idle_s=0.1)) as (sidecar, _):
+        async with running(says(ANSWER)) as (sidecar, _):
+            sidecar.listener.set_limits(calm_idle_s=0.1)
             gc.disable()  # counts alone must free it: full collections are rare
             try:
                 reader, writer = await sidecar.connect()
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -7,7 +7,13 @@
 import pytest
 
 from garnethaven.__main__ import main
-from garnethaven.operator import Limits, Operator, OperatorError, named_file, read_operator
+from garnethaven.app.operator import OperatorError, named_file, read_operator
+from garnethaven.app.registry import PACKAGES, table_of
+from garnethaven.limits.table import Limits
+from garnethaven.tables import At, Secret, taken_over
+from tests.rigs.test_rigs import imported_at_start
+
+ROOT = Path(__file__).parent.parent
 
 
 def written(tmp_path: Path, text: str) -> str:
@@ -17,18 +23,20 @@
 
 
 def test_without_a_file_everything_is_off_or_at_its_default() -> None:
-    assert read_operator(None) == Operator() == Operator(limits=Limits(view=None, client_places=0))
+    assert read_operator(None) == {}
+    assert Limits() == Limits(view=None, client_places=0)
 
 
 def test_a_whole_file_is_read(tmp_path: Path) -> None:
     text = '[limits]\nview = "127.0.0.1:9901"\nclient_places = 100\ncalm_idle_s = 4\nwatch_most_s = 7.5\n'
-    told = read_operator(written(tmp_path, text)).limits
-    assert told == Limits(("127.0.0.1", 9901), 100, 4, 7.5)
+    told = read_operator(written(tmp_path, text))["limits"]
+    assert told == Limits(At(("127.0.0.1", 9901)), 100, 4, 7.5)
 
 
 def test_the_example_is_good() -> None:
     example = Path(__file__).parent.parent / "deploy" / "examples" / "limits.toml"
-    assert read_operator(str(example)).limits.view is not None
+    told = read_operator(str(example))["limits"]
+    assert isinstance(told, Limits) and told.view is not None
 
 
 @pytest.mark.parametrize(
@@ -80,3 +88,70 @@
     assert "is good" in capsys.readouterr().out
     assert main(["check", written(tmp_path, "[limits]\ncalm = 3\n")]) == 2
     assert "'limits.calm' is unknown" in capsys.readouterr().err
+
+
+def test_all_problems_are_told_not_the_first_alone(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    text = (
+        '[limits]\ncalm_idle_s = 0\nviews = 1\n[grpc]\nlisten = "x"\nroutes = [{path = "/a"}, {class = 1}]\n'
+    )
+    assert main(["check", written(tmp_path, text)]) == 2
+    said = capsys.readouterr().err.splitlines()
+    assert len(said) == 6
+    for part in ("'limits.calm_idle_s'", "'limits.views'", "'grpc.listen'", "entry 1: 'class' is missing"):
+        assert sum(part in line for line in said) == 1, said
+    assert "entry 2: 'path' is missing" in said[5] or "entry 2: 'path' is missing" in said[4]
+
+
+def test_many_problems_make_a_bounded_line() -> None:
+    error = OperatorError(f"problem {number}" for number in range(100))
+    assert len(error.problems) == 100
+    assert str(error).endswith("problem 7; and 92 more")
+
+
+@pytest.mark.parametrize("name", list(PACKAGES))
+def test_the_operators_page_holds_the_table_as_it_is_declared(
+    name: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """`python -m garnethaven tables NAME` prints what belongs there."""
+    assert main(["tables", name]) == 0
+    told = capsys.readouterr().out
+    pages = Path(__file__).parent.parent / "docs" / "operators"
+    page = (pages / f"{name.replace('_', '-')}.md").read_text()
+    assert f"<!-- python -m garnethaven tables {name} -->\n\n{told}\n<!-- end of tables -->" in page
+
+
+@pytest.mark.parametrize("name", list(PACKAGES))
+def test_the_defaults_of_every_table_mean_off(name: str) -> None:
+    """A reload takes a table that has gone for its defaults."""
+    assert taken_over(table_of(name)(), table_of(name)()) == (table_of(name)(), [])
+
+
+def test_a_table_that_is_not_there_cannot_be_shown(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["tables", "none"]) == 2
+    assert "there is no table 'none'" in capsys.readouterr().err
+
+
+def test_without_a_file_neither_the_library_nor_a_feature_is_imported() -> None:
+    packages = [f"{package}.feature" for package in PACKAGES.values()]
+    assert imported_at_start("msgspec", "garnethaven.tables", "garnethaven.feature", *packages) == "[]"
+
+
+def test_a_secret_does_not_show_itself() -> None:
+    assert "abab" not in repr(Secret.told("ab" * 16))
+
+
+def test_no_part_below_imports_what_puts_it_together() -> None:
+    """Imports point one way: app, then fronts and transports, then the engine, then decisions."""
+    below = ROOT / "garnethaven"
+    ranks = {"app": 3, "extproc": 2, "grpcs": 2, "connections": 2, "membership": 2, "net": 1, "engine": 0}
+    for path in sorted(below.glob("*/**/*.py")):
+        room = path.relative_to(below).parts[0]
+        if room not in ranks:
+            continue
+        for line in path.read_text().splitlines():
+            words = line.split()
+            if line.startswith("from garnethaven.") and words[1].split(".")[1] in ranks:
+                other = words[1].split(".")[1]
+                assert other == room or ranks[other] < ranks[room], f"{path}: {line}"
