Rotate certificates without a dropped connection, and ask gRPC clients for theirs

The gRPC front's certificate waited for a restart, its end was noticed by clients first, and no client could be asked who it is. A crossing between regions will need all of that.

Change. keys/: how long certificates hold and who is a named peer (pure), a keyring that gives each handshake the newest context and keeps the old files where new ones do not fit, a private authority on cryptography, and the command `certs` (init, issue, rotate, revoke, show). `[grpc]` takes client_ca, peers and revoked; cert, key and these are taken over at SIGHUP and within 2 s of a change. A handshake that does not go on is closed after 5 s.

Over loopback: an open connection goes on over a rotation and the next handshake has the new certificate; old and new authority hold side by side; clients that are revoked, strangers, without a certificate or of another authority are turned away; an ended certificate refuses handshakes.

--- a/garnethaven/__main__.py
+++ b/garnethaven/__main__.py
@@ -15,7 +15,7 @@
 from garnethaven.config import Config, ConfigError, read_config
 
 YOUNG_OBJECTS = 10_000  # collected in this many; nearly all objects end by their counts
-CHECK, TABLES = "check", "tables"
+CHECK, TABLES, CERTS = "check", "tables", "certs"
 
 
 async def serve(config: Config, operator: Operator, path: str | None) -> None:
@@ -79,6 +79,10 @@
     try:
         if words[:1] == [CHECK] and len(words) == 2:
             return check(words[1])
+        if words[:1] == [CERTS]:
+            from garnethaven.keys.command import main as certs
+
+            return certs(words[1:])
         if words[:1] == [TABLES]:
             return show_tables(words[1:])
         path = named_file(words, os.environ)
--- a/garnethaven/grpcs/feature.py
+++ b/garnethaven/grpcs/feature.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
 from garnethaven.addresses import Address
 from garnethaven.feature import Feature
 from garnethaven.grpcs.front import Front, client_tls
@@ -9,6 +13,24 @@
 from garnethaven.grpcs.transport import GrpcTransport
 from garnethaven.parts import Parts
 
+if TYPE_CHECKING:
+    from garnethaven.keys.keyring import Keyring, Paths
+
+LOOK_S = 2.0  # between two looks at the files of certificates
+
+
+def paths_of(table: Grpc) -> Paths:
+    from garnethaven.keys.keyring import Paths
+
+    return Paths(table.cert, table.key, table.client_ca, table.revoked, table.peers)
+
+
+def keyring_of(table: Grpc, log: Callable[[str], None]) -> Keyring:
+    """Raises OSError where a file can't be used."""
+    from garnethaven.keys.keyring import Keyring
+
+    return Keyring(paths_of(table), ["h2"], log)
+
 
 class GrpcFeature(Feature[Grpc, Parts]):
     name = "grpc"
@@ -16,6 +38,8 @@
     def __init__(self, table: Grpc, parts: Parts) -> None:
         super().__init__(table, parts)
         self.front: Front | None = None
+        self.keyring: Keyring | None = None
+        self.looking: asyncio.TimerHandle | None = None
 
     async def open(self) -> None:
         if self.table.listen is None:
@@ -23,9 +47,23 @@
         parts = self.parts
         tls = client_tls(self.table) if self.table.server_ca else None
         carrier = GrpcTransport(parts.engine, parts.loop, self._address_of, tls)
-        self.front = Front(self.table, parts.engine, carrier, parts.listener.classes)
+        if self.table.cert:
+            self.keyring = keyring_of(self.table, self._say)
+            self._look()
+        context = self.keyring.context if self.keyring is not None else None
+        admits = self.keyring.admits if self.keyring is not None else lambda peer: True
+        classes = parts.listener.classes
+        self.front = Front(self.table, parts.engine, carrier, classes, context, admits)
         await self.front.start(self.table.listen)
 
+    def _say(self, text: str) -> None:
+        self.parts.engine.log(f"grpc: {text}")
+
+    def _look(self) -> None:
+        assert self.keyring is not None
+        self.looking = self.parts.loop.call_later(LOOK_S, self._look)
+        self.keyring.look()
+
     def _address_of(self, endpoint: int) -> Address | None:
         target = self.parts.transport.targets.get(endpoint)
         if target is None or target.address is None:
@@ -33,9 +71,21 @@
         host, port = target.address
         return host, port + self.table.port_offset
 
+    def renew(self, wanted: Grpc) -> list[str]:
+        waiting = super().renew(wanted)
+        if self.front is not None and bool(wanted.cert) != (self.keyring is not None):
+            waiting.append("grpc.cert")  # between cleartext and TLS
+        return waiting
+
     def renewed(self) -> None:
         if self.front is not None:
             self.front.renew(self.table)
+        if self.keyring is not None and self.table.cert:
+            self.keyring.renew(paths_of(self.table))
+
+    async def close(self) -> None:
+        if self.looking is not None:
+            self.looking.cancel()
 
     async def drain(self, grace_s: float) -> None:
         if self.front is not None:
@@ -44,7 +94,8 @@
     def figures(self) -> dict[str, int]:
         if self.front is None:
             return {}
-        return {
+        refused = {"clients_refused": self.keyring.refused} if self.keyring is not None else {}
+        return refused | {
             "connections": len(self.front.lines),
             "streams": sum(len(line.streams) for line in self.front.lines),
         }
--- a/garnethaven/grpcs/front.py
+++ b/garnethaven/grpcs/front.py
@@ -17,8 +17,9 @@
 import asyncio
 import contextlib
 import ssl
+from collections.abc import Callable
 from itertools import count
-from typing import cast
+from typing import Any, cast
 
 from h2.config import H2Configuration
 from h2.connection import H2Connection
@@ -69,6 +70,7 @@
 ID_MOST = 256
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 WRONG_PROTOCOL = b"HTTP/1.1 505 HTTP Version Not Supported\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+HANDSHAKE_S = 5.0  # then a client that does not go on with its handshake is closed
 DRAIN_S = 0.1  # between the warning and the end of new streams: what was sent meanwhile is still taken
 BACKLOG_MOST = 1024 * 1024  # bytes that a client leaves unread before nothing more is written to it
 
@@ -352,6 +354,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        if self.front.tls is not None and not self.front.admits(self.transport.get_extra_info("peercert")):
+            self.transport.abort()
+            return
         self.transport.set_write_buffer_limits(high=BACKLOG_MOST)
         self.front.lines.add(self)
         self.h2.local_settings.update(
@@ -521,8 +526,18 @@
 class Front:
     """The server. `start` raises OSError where its address can't be had."""
 
-    def __init__(self, operator: Grpc, engine: Engine, transport: GrpcTransport, classes: Classes) -> None:
+    def __init__(
+        self,
+        operator: Grpc,
+        engine: Engine,
+        transport: GrpcTransport,
+        classes: Classes,
+        tls: ssl.SSLContext | None = None,
+        admits: Callable[[Any], bool] = lambda peer: True,
+    ) -> None:
         self.operator = operator
+        self.tls = tls
+        self.admits = admits  # whether a client may come, by its certificate
         self.engine = engine
         self.transport = transport
         self.classes = classes
@@ -540,8 +555,10 @@
         self.operator = operator
 
     async def start(self, address: Address) -> Front:
-        tls = server_tls(self.operator) if self.operator.cert else None
-        self.server = await self.engine.loop.create_server(lambda: FrontLine(self), *address, ssl=tls)
+        limit = HANDSHAKE_S if self.tls is not None else None
+        self.server = await self.engine.loop.create_server(
+            lambda: FrontLine(self), *address, ssl=self.tls, ssl_handshake_timeout=limit
+        )
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
@@ -576,14 +593,6 @@
             self.calm.set_result(None)
 
 
-def server_tls(operator: Grpc) -> ssl.SSLContext:
-    """TLS for clients, with ALPN; raises OSError where a file can't be used."""
-    made = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    made.load_cert_chain(operator.cert, operator.key or None)
-    made.set_alpn_protocols(["h2"])
-    return made
-
-
 def client_tls(operator: Grpc) -> ssl.SSLContext:
     """TLS towards servers, whose certificates carry their addresses."""
     made = ssl.create_default_context(cafile=operator.server_ca)
--- a/garnethaven/grpcs/table.py
+++ b/garnethaven/grpcs/table.py
@@ -37,13 +37,29 @@
     stream_most_s: Annotated[
         int, bounded(1, 86_400, "the longest that a call of a streaming route may last", "seconds")
     ] = 3_600
-    cert: Annotated[str, said("with it clients must use TLS, with ALPN `h2`", "PEM file", waits=True)] = ""
-    key: Annotated[str, said("the key of `cert`", "PEM file", waits=True)] = ""
+    cert: Annotated[str, said("with it clients must use TLS, with ALPN `h2`", "PEM file")] = ""
+    key: Annotated[str, said("the key of `cert`", "PEM file")] = ""
+    client_ca: Annotated[str, said("clients need a certificate of these authorities", "PEM file")] = ""
+    peers: Annotated[
+        tuple[str, ...],
+        said("clients need one of these names; `*.` for one label", "names"),
+    ] = ()
+    revoked: Annotated[str, said("a revocation list; clients on it are refused", "PEM file")] = ""
     server_ca: Annotated[
         str,
         said("servers are asked over TLS; their certificates carry their addresses", "PEM file", waits=True),
     ] = ""
     routes: Annotated[tuple[GrpcRoute, ...], said("the classes of methods", "tables")] = ()
 
+    def __post_init__(self) -> None:
+        for name, needed in (
+            ("key", "cert"),
+            ("client_ca", "cert"),
+            ("peers", "client_ca"),
+            ("revoked", "client_ca"),
+        ):
+            if getattr(self, name) and not getattr(self, needed):
+                raise WrongFieldError(name, f"is of no use without '{needed}'")
+
 
 TABLE = Grpc
--- a/tests/grpcs/test_settings.py
+++ b/tests/grpcs/test_settings.py
@@ -14,6 +14,7 @@
 
 from garnethaven.app.operator import OperatorError, read_operator
 from garnethaven.engine.classes import Classes
+from garnethaven.grpcs.feature import keyring_of
 from garnethaven.grpcs.front import Front
 from garnethaven.grpcs.table import Grpc, GrpcRoute
 from garnethaven.grpcs.transport import GrpcTransport
@@ -27,7 +28,7 @@
 
 
 def test_nothing_of_it_is_imported_where_it_is_off() -> None:
-    assert imported_at_start("h2", "hpack", "garnethaven.grpcs") == "[]"
+    assert imported_at_start("h2", "hpack", "cryptography", "garnethaven.grpcs", "garnethaven.keys") == "[]"
 
 
 def test_the_example_is_good() -> None:
@@ -52,6 +53,8 @@
         ('routes = [{path = "/a", class = "c", streams = 1}]', "routes"),
         ('routes = [{path = "/a", class = "c", retry = true}]', "routes"),
         ("cert = 1", "cert"),
+        ('client_ca = "a.pem"', "client_ca"),
+        ('peers = ["a"]', "peers"),
         ("port = 1", "port"),
     ],
 )
@@ -89,7 +92,9 @@
             context = ssl.create_default_context()
             authority.configure_trust(context)
             context.set_alpn_protocols(["h2"])
-            inner = Front(operator, engine, made.front.transport, made.sidecar.listener.classes)
+            keyring = keyring_of(operator, lambda text: None)
+            parts = engine, made.front.transport, made.sidecar.listener.classes
+            inner = Front(operator, *parts, keyring.context, keyring.admits)
             await inner.start(("127.0.0.1", 0))
             # A second front asks the first over TLS, as a server that wants it.
             outer_transport = GrpcTransport(
--- /dev/null
+++ b/tests/keys/test_keyring.py
@@ -0,0 +1,266 @@
+"""Mutual TLS on loopback: rotation without a dropped connection, and who is turned away."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ssl
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import grpc
+import pytest
+
+from garnethaven.__main__ import main
+from garnethaven.grpcs.front import Front
+from garnethaven.grpcs.table import Grpc
+from garnethaven.keys import keyring as keyrings
+from garnethaven.keys.authority import Authority
+from garnethaven.keys.files import KeysError, certificates, facts_of
+from garnethaven.keys.keyring import Keyring, Paths
+from garnethaven.keys.validity import DAY_S
+from tests.grpcs.test_on_sockets import ROUTES, UNARY, ok, stage
+from tests.loopback import run
+
+
+class Keys:
+    """An authority, a server's certificate and a client's."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.authority = Authority(str(folder))
+        self.authority.init("petrel")
+        self.issue()
+
+    def issue(self) -> None:
+        self.authority.issue("server", ["127.0.0.1"], 90)
+        self.authority.issue("client", ["gate.a.example"], 90)
+
+    def path(self, name: str) -> str:
+        return str(self.folder / name)
+
+    def paths(self, **more: Any) -> Paths:
+        told = {"client_ca": self.path("authorities.pem"), "peers": ("gate.a.example",)} | more
+        return Paths(self.path("server.pem"), self.path("server.key"), **told)
+
+    def client(self, name: str | None = "client", folder: Path | None = None) -> ssl.SSLContext:
+        made = ssl.create_default_context(cafile=self.path("authorities.pem"))
+        if name is not None:
+            its = folder or self.folder
+            made.load_cert_chain(its / f"{name}.pem", its / f"{name}.key")
+        return made
+
+
+class Echo:
+    """A server behind a keyring: echoes lines, turns away who is no peer."""
+
+    def __init__(self, paths: Paths) -> None:
+        self.log: list[str] = []
+        self.keyring = Keyring(paths, ["h2"], self.log.append)
+
+    async def start(self) -> Echo:
+        context = self.keyring.context
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, ssl=context)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.keyring.admits(writer.get_extra_info("peercert")):
+            with contextlib.suppress(ConnectionError):
+                while line := await reader.readline():
+                    writer.write(line)
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def echo(paths: Paths) -> AsyncIterator[Echo]:
+    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)  # refused handshakes
+    made = await Echo(paths).start()
+    try:
+        yield made
+    finally:
+        made.server.close()
+
+
+class Line:
+    async def open(self, port: int, context: ssl.SSLContext) -> Line:
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port, ssl=context)
+        return self
+
+    async def echoes(self) -> bool:
+        try:
+            self.writer.write(b"hi\n")
+            return await self.reader.readline() == b"hi\n"
+        except OSError:
+            return False
+
+    def serial(self) -> int:
+        return int(self.writer.get_extra_info("peercert")["serialNumber"], 16)
+
+
+async def echoes(port: int, context: ssl.SSLContext) -> bool:
+    try:
+        line = await Line().open(port, context)
+    except OSError:
+        return False
+    try:
+        return await line.echoes()
+    finally:
+        line.writer.close()
+
+
+def test_a_rotation_drops_no_connection_and_the_next_handshake_has_the_new_certificate(
+    tmp_path: Path,
+) -> None:
+    async def case() -> None:
+        keys = Keys(tmp_path)
+        async with echo(keys.paths()) as made:
+            before = await Line().open(made.port, keys.client())
+            assert await before.echoes()
+            keys.issue()
+            made.keyring.look()
+            after = await Line().open(made.port, keys.client())
+            assert await after.echoes() and await before.echoes()
+            assert before.serial() != after.serial()
+            assert after.serial() == facts_of(certificates(keys.path("server.pem"))[0]).serial
+
+    run(case())
+
+
+def test_old_and_new_authority_hold_side_by_side_until_the_old_one_is_taken_out(tmp_path: Path) -> None:
+    async def case() -> None:
+        keys = Keys(tmp_path)
+        async with echo(keys.paths()) as made:
+            old = keys.client()
+            keys.authority.rotate("petrel 2")
+            made.keyring.look()
+            assert await echoes(made.port, old)
+            keys.issue()
+            made.keyring.look()
+            assert await echoes(made.port, keys.client())
+            (tmp_path / "authorities.pem").write_bytes((tmp_path / "authority.pem").read_bytes())
+            made.keyring.look()
+            assert await echoes(made.port, keys.client())
+            old.load_verify_locations(cafile=keys.path("authority.pem"))
+            assert not await echoes(made.port, old)
+
+    run(case())
+
+
+def test_who_has_no_good_certificate_is_turned_away(tmp_path: Path) -> None:
+    async def case() -> None:
+        keys = Keys(tmp_path / "ours")
+        other = Keys(tmp_path / "theirs")
+        keys.authority.issue("stranger", ["gate.z.example"], 90)
+        async with echo(keys.paths()) as made:
+            assert await echoes(made.port, keys.client())
+            assert not await echoes(made.port, keys.client(None))
+            assert not await echoes(made.port, keys.client(folder=other.folder))
+            assert not await echoes(made.port, keys.client("stranger"))
+            assert made.keyring.refused == 1
+            assert any("gate.z.example is no peer" in line for line in made.log)
+
+    run(case())
+
+
+def test_a_revoked_client_is_refused_from_the_next_handshake_on(tmp_path: Path) -> None:
+    async def case() -> None:
+        keys = Keys(tmp_path)
+        keys.authority.revoke([], 90)
+        async with echo(keys.paths(revoked=keys.path("revoked.pem"))) as made:
+            assert await echoes(made.port, keys.client())
+            keys.authority.revoke([facts_of(certificates(keys.path("client.pem"))[0]).serial], 90)
+            made.keyring.look()
+            assert not await echoes(made.port, keys.client())
+
+    run(case())
+
+
+def test_no_handshake_is_made_with_a_certificate_that_has_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def case() -> None:
+        keys = Keys(tmp_path)
+        async with echo(keys.paths()) as made:
+            now = keyrings.time.time()
+            monkeypatch.setattr(keyrings.time, "time", lambda: now + 91 * DAY_S)
+            made.keyring.look()
+            assert not await echoes(made.port, keys.client())
+            assert made.keyring.refused == 1
+            assert any("handshakes are refused" in line for line in made.log)
+            monkeypatch.undo()
+
+    run(case())
+
+
+@pytest.mark.parametrize("name", ["server.pem", "server.key", "authorities.pem"])
+def test_what_cannot_be_used_is_told_and_the_old_files_stay_in_use(name: str, tmp_path: Path) -> None:
+    async def case() -> None:
+        keys = Keys(tmp_path)
+        async with echo(keys.paths()) as made:
+            context = keys.client()
+            (tmp_path / name).write_text("none")
+            made.keyring.look()
+            assert sum("the old certificate is kept" in line for line in made.log) == 1
+            made.keyring.look()  # told once for each change
+            assert len(made.log) == 1
+            assert await echoes(made.port, context)
+
+    run(case())
+
+
+def test_a_start_with_files_that_cannot_be_used_is_an_error(tmp_path: Path) -> None:
+    keys = Keys(tmp_path)
+    for paths in (
+        Paths(keys.path("none.pem")),
+        Paths(keys.path("server.pem"), keys.path("client.key")),
+        keys.paths(client_ca=keys.path("server.key")),
+        keys.paths(revoked=keys.path("none")),
+    ):
+        with pytest.raises(KeysError):
+            Keyring(paths, ["h2"], lambda text: None)
+
+
+def test_grpc_over_mutual_tls(tmp_path: Path) -> None:
+    async def case() -> None:
+        keys = Keys(tmp_path)
+        keyring = Keyring(keys.paths(), ["h2"], lambda text: None)
+        async with stage(ok) as made:
+            parts = made.sidecar.engine, made.front.transport, made.sidecar.listener.classes
+            front = Front(Grpc(routes=ROUTES), *parts, keyring.context, keyring.admits)
+            await front.start(("127.0.0.1", 0))
+            authorities = (tmp_path / "authorities.pem").read_bytes()
+            pair = [(tmp_path / name).read_bytes() for name in ("client.key", "client.pem")]
+            for told, code in ((pair, grpc.StatusCode.OK), ([], grpc.StatusCode.UNAVAILABLE)):
+                credentials = grpc.ssl_channel_credentials(authorities, *told)
+                async with grpc.aio.secure_channel(f"127.0.0.1:{front.port}", credentials) as channel:
+                    call = channel.unary_unary(UNARY)(b"hi", timeout=10.0)
+                    assert await call.code() is code
+            await front.close(0.0)
+
+    run(case())
+
+
+def test_the_command_makes_issues_rotates_revokes_and_shows(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def certs(*words: str) -> int:
+        return main(["certs", "--folder", str(tmp_path), *words])
+
+    assert certs("init", "petrel") == 0
+    assert certs("init", "petrel") == 1
+    assert "holds an authority already" in capsys.readouterr().err
+    assert certs("issue", "gate", "gate.a.example", "10.0.0.1", "--days", "10") == 0
+    assert certs("show", str(tmp_path / "gate.pem")) == 0
+    said = capsys.readouterr().out
+    assert "gate.a.example, 10.0.0.1: valid, until" in said and "CN=petrel" in said
+    assert certs("rotate", "petrel 2") == 0
+    assert len(certificates(str(tmp_path / "authorities.pem"))) == 2
+    assert certs("revoke", str(tmp_path / "gate.pem")) == 0
+    assert (tmp_path / "authority.key").stat().st_mode & 0o777 == 0o600
+    assert certs("issue", "../x", "a") == 1
+    assert certs("show", str(tmp_path / "none.pem")) == 1
+    assert "can't be read" in capsys.readouterr().err
+    with pytest.raises(SystemExit):
+        certs("issue", "x", "a", "--days", "0")
