Keep what is taken back from coming again, and bound what is held of a registry's values

While this program's own entry was taken back, a sign of life that was due could make it anew in the same moment; the two registrations shared their life line by line. And the core held values whole, so that 20,000 keys of 2 MB each would have been held.

Change. announcing.py keeps an entry of either kind, and makes nothing once it is withdrawn. Of a value that is too large only so much is held that it is seen to be.

The new part of the test of etcd's registration fails without it.

--- a/garnethaven/membership/catchup.py
+++ b/garnethaven/membership/catchup.py
@@ -73,7 +73,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Entry:
-    """One key's value. `created` tells lives apart: a key that was removed and put back has another."""
+    """One key's value. `created` tells lives apart: a key that was removed and put back has another.
+
+    Sources keep no more of a value than it takes to see that it is too large: what is held is bounded.
+    """
 
     value: bytes
     created: int
--- a/garnethaven/membership/consul/answers.py
+++ b/garnethaven/membership/consul/answers.py
@@ -27,6 +27,7 @@
 from typing import Any
 
 from garnethaven.membership.catchup import Entry
+from garnethaven.membership.payloads import PAYLOAD_MOST
 
 MAINTENANCE = "_service_maintenance"
 NODE_MAINTENANCE = "_node_maintenance"
@@ -106,7 +107,7 @@
             key, value = str(item["Key"]).removeprefix(prefix), item["Value"]
             if not key or key.endswith("/"):
                 continue  # the directory itself
-            data = base64.b64decode(value or "", validate=True)
+            data = base64.b64decode(value or "", validate=True)[: PAYLOAD_MOST + 1]
             found[key] = Entry(data, int(item["CreateIndex"]), int(item["ModifyIndex"]))
         except (KeyError, TypeError, ValueError, binascii.Error) as problem:
             raise AnswerError(f"a key can't be read: {problem!r}") from None
--- a/garnethaven/membership/consul/registration.py
+++ b/garnethaven/membership/consul/registration.py
@@ -12,23 +12,19 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from random import Random
 from typing import Any
 from urllib.parse import quote
 
 from garnethaven.addresses import Address
+from garnethaven.membership.announcing import SIGNS, Announcing
 from garnethaven.membership.consul.client import Agent
-from garnethaven.membership.hosts import Hosts
-from garnethaven.membership.keyed import EndpointLostError
 from garnethaven.membership.table import Consul, ConsulRegistration
 
-SIGNS = 3  # in a check's life
 
-
-class Registered:
-    """Lives in a task of its own, on a connection of its own."""
+class Registered(Announcing):
+    """The service, with its check."""
 
     def __init__(
         self,
@@ -43,35 +39,32 @@
         self.settings = settings
         self.address = wanted.address or address
         self.id = wanted.id or "{}-{}:{}".format(wanted.name, *self.address)
-        self.hosts = Hosts(settings.hosts, settings.spread_ms / 1000, rng)
-        self.say = say
-        self.there = False
+        self.passed = False
         self.agent: Agent | None = None
-        self.task: asyncio.Task[None] | None = loop.create_task(self._run())
+        super().__init__(self.id, settings.hosts, settings.spread_ms, wanted.withdraw_ms, loop, rng, say)
+
+    @property
+    def there(self) -> bool:
+        return self.passed
 
-    async def _run(self) -> None:
-        while True:
-            refused = False
-            try:
-                agent = self.agent = Agent(self.hosts.next(), self.settings)
-                try:
-                    await self._keep(agent)
-                finally:
-                    self.agent, self.there = None, False
-                    await agent.close()
-            except (EndpointLostError, OSError) as problem:
-                refused = getattr(problem, "refused", False)
-                self.say(f"{self.id} can't be kept: {problem}")
-            await asyncio.sleep(self.hosts.wait_s(refused))
+    async def keep(self, address: Address) -> None:
+        agent = self.agent = Agent(address, self.settings)
+        try:
+            await agent.put("/v1/agent/service/register", self.service())
+            check = quote(f"service:{self.id}", safe="")
+            while self.wanted_still():
+                await agent.put(f"/v1/agent/check/pass/{check}")
+                self.passed = True
+                self.hosts.lasted()
+                await asyncio.sleep(self.wanted.ttl_s / SIGNS)
+        finally:
+            self.agent, self.passed = None, False
+            await agent.close()
 
-    async def _keep(self, agent: Agent) -> None:
-        await agent.put("/v1/agent/service/register", self.service())
-        check = quote(f"service:{self.id}", safe="")
-        while True:
-            await agent.put(f"/v1/agent/check/pass/{check}")
-            self.there = True
-            self.hosts.lasted()
-            await asyncio.sleep(self.wanted.ttl_s / SIGNS)
+    async def take_back(self) -> None:
+        self.passed = False
+        if self.agent is not None:
+            await self.agent.put(f"/v1/agent/service/deregister/{quote(self.id, safe='')}")
 
     def service(self) -> dict[str, Any]:
         """What is registered."""
@@ -88,20 +81,3 @@
                 "DeregisterCriticalServiceAfter": f"{max(60, 6 * self.wanted.ttl_s)}s",
             },
         }
-
-    async def withdraw(self) -> None:
-        """Take the service back, and wait until that is known, for as long as the settings allow."""
-        agent, task, self.task = self.agent, self.task, None
-        if self.there and agent is not None:
-            self.there = False
-            path = f"/v1/agent/service/deregister/{quote(self.id, safe='')}"
-            with contextlib.suppress(TimeoutError, EndpointLostError):
-                await asyncio.wait_for(agent.put(path), self.wanted.withdraw_ms / 1000)
-        if task is not None:
-            task.cancel()
-
-    def stop(self) -> None:
-        """Without a word to the agent: the check ends by itself."""
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
--- a/garnethaven/membership/etcd/answers.py
+++ b/garnethaven/membership/etcd/answers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from garnethaven.membership.catchup import CatchUp, Entry, Order
+from garnethaven.membership.payloads import PAYLOAD_MOST
 
 DELETE = 1
 PROGRESS_ID = -1  # the answer to a progress request belongs to no watch
@@ -53,4 +54,5 @@
 
 
 def entry_of(kv: Any) -> Entry:
-    return Entry(kv.value, kv.create_revision, kv.mod_revision)
+    """A key as it is held; of a value that is too large only so much that it is seen to be."""
+    return Entry(kv.value[: PAYLOAD_MOST + 1], kv.create_revision, kv.mod_revision)
--- a/garnethaven/membership/etcd/registration.py
+++ b/garnethaven/membership/etcd/registration.py
@@ -12,22 +12,19 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from random import Random
 
 from garnethaven.addresses import Address
+from garnethaven.membership.announcing import SIGNS, Announcing
 from garnethaven.membership.etcd.client import AuthExpired, Line
-from garnethaven.membership.hosts import Hosts
 from garnethaven.membership.keyed import EndpointLostError
 from garnethaven.membership.payloads import written
 from garnethaven.membership.table import Etcd, EtcdRegistration
 
-SIGNS = 3  # in a lease's life
 
-
-class Registered:
-    """Lives in a task of its own, on a connection of its own: a slow watch must not cost the lease."""
+class Registered(Announcing):
+    """The key, on a lease."""
 
     def __init__(
         self,
@@ -41,31 +38,28 @@
         self.wanted = wanted
         self.settings = settings
         self.value = written(wanted.form, wanted.address or address, wanted.facts)
-        self.hosts = Hosts(settings.hosts, settings.spread_ms / 1000, rng)
-        self.say = say
         self.lease = 0
         self.line: Line | None = None
-        self.task: asyncio.Task[None] | None = loop.create_task(self._run())
+        super().__init__(wanted.key, settings.hosts, settings.spread_ms, wanted.withdraw_ms, loop, rng, say)
 
-    async def _run(self) -> None:
-        while True:
-            line = self.line = Line(self.hosts.next(), self.settings.tls)
-            refused = False
-            try:
-                if self.settings.user:
-                    await line.authenticate(self.settings.user)
-                await self._keep(line)
-            except (EndpointLostError, AuthExpired, OSError) as problem:
-                refused = getattr(problem, "refused", False)
-                self.say(f"{self.wanted.key} can't be kept: {problem}")
-            finally:
-                self.line = None
-                await line.close()
-            await asyncio.sleep(self.hosts.wait_s(refused))
+    @property
+    def there(self) -> bool:
+        return self.lease != 0
+
+    async def keep(self, address: Address) -> None:
+        line = self.line = Line(address, self.settings.tls)
+        try:
+            if self.settings.user:
+                await line.authenticate(self.settings.user)
+            await self._keep(line)
+        except AuthExpired as problem:  # the next try asks for another token
+            raise EndpointLostError(str(problem)) from None
+        finally:
+            self.line = None
+            await line.close()
 
     async def _keep(self, line: Line) -> None:
-        """Raises EndpointLostError and AuthExpired."""
-        while True:
+        while self.wanted_still():
             if not self.lease:
                 lease = await line.grant(self.wanted.ttl_s)
                 await line.put(self.wanted.key, self.value, lease)
@@ -75,23 +69,10 @@
             if not await line.keep_alive(self.lease):
                 self.lease = 0
 
-    @property
-    def there(self) -> bool:
-        """Whether the key is in the registry, as far as this program knows."""
-        return self.lease != 0
-
-    async def withdraw(self) -> None:
-        """Revoke the lease, and wait until that is known, for as long as the settings allow."""
-        lease, line, self.lease = self.lease, self.line, 0
-        task, self.task = self.task, None
-        if lease and line is not None:
-            with contextlib.suppress(TimeoutError, EndpointLostError, AuthExpired):
-                await asyncio.wait_for(line.revoke(lease), self.wanted.withdraw_ms / 1000)
-        if task is not None:
-            task.cancel()
-
-    def stop(self) -> None:
-        """Without a word to the registry: the lease ends by itself."""
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
+    async def take_back(self) -> None:
+        lease, self.lease = self.lease, 0
+        if self.line is not None:
+            try:
+                await self.line.revoke(lease)
+            except AuthExpired as problem:
+                raise EndpointLostError(str(problem)) from None
--- a/tests/membership/test_consul.py
+++ b/tests/membership/test_consul.py
@@ -22,6 +22,7 @@
     services,
     trust_of,
 )
+from garnethaven.membership.payloads import PAYLOAD_MOST
 from garnethaven.membership.table import Consul, ConsulHost, ConsulRegistration, Membership
 from standins.consul.cluster import Cluster
 from tests.loopback import run, until
@@ -237,15 +238,17 @@
             catalog.put("checks/", b"")
             catalog.put("checks/n1", payload(1))
             catalog.put("checks/bad", b"none")
+            catalog.put("checks/large", b"x" * 500_000)
             await made.cluster.tell()
             await made.sees(1)
             catalog.put("checks/n1", payload(1, phase="DRAINING"))
             await made.cluster.tell()
             await until(lambda: made.entry(1).state is State.DRAINING)
-            catalog.delete("checks/n1", "checks/bad", "checks/")
+            catalog.delete("checks/n1", "checks/bad", "checks/large", "checks/")
             await made.cluster.tell()
             await until(lambda: not made.module)
-            assert made.consul.figures()["flaws"] == {"no JSON": 1}
+            assert made.consul.figures()["flaws"] == {"no JSON": 1, "too large": 1}
+            assert all(len(one.value) <= PAYLOAD_MOST + 1 for one in made.consul.core.entries.values())
 
     run(case())
 
--- a/tests/membership/test_etcd.py
+++ b/tests/membership/test_etcd.py
@@ -16,6 +16,7 @@
 
 from garnethaven.interface import Endpoint, ListKind, State
 from garnethaven.membership.etcd.client import end_of
+from garnethaven.membership.payloads import PAYLOAD_MOST
 from garnethaven.membership.table import Etcd, EtcdHost, EtcdRegistration, Membership, Tls
 from standins.etcd.cluster import Cluster
 from tests.loopback import run, until
@@ -269,6 +270,7 @@
             made.appear(2)
             await made.sees(1, 2, 5)
             assert made.etcd.figures()["flaws"] == {"no JSON": 1, "too large": 1}
+            assert max(len(one.value) for one in made.core.entries.values()) == PAYLOAD_MOST + 1
             assert sum("not used" in line for line in made.log) == 1
 
     run(case())
@@ -373,7 +375,18 @@
             made.cluster.end_lease(lease)  # lost: put back on another
             await until(lambda: b"/sidecars/t" in store.keys and lease not in store.leases)
             await until(lambda: made.etcd.own.lease != 0)
+            own = made.etcd.own
+            took_back, again = own.take_back, asyncio.Event()
+
+            async def slowly() -> None:
+                """A sign of life is due while the key is taken back."""
+                await took_back()
+                await own._keep(own.line)
+                again.set()
+
+            own.take_back = slowly
             await made.etcd.withdraw()
+            assert again.is_set()
             assert b"/sidecars/t" not in store.keys and not store.leases
 
     run(case())
