Let the sources, the tests' worlds and the rig's kinds stand on one piece each

Telling is what all three sources call; what only key-value registries need is in keyed.py. Announcing stands where a protocol of the same shape did, EndpointLostError with the hosts. Dead or derivable state is gone: a life's value that nobody read, a branch that no order reached, a time of discovery that nobody passed, stamps taken twice, a lambda around what does not change, the least of a secret told twice. Features are opened in the registry's order, as its comment says. No other change of behaviour is meant; no assertion is changed, one names the place where `settled` stands now.

--- a/garnethaven/app/operator.py
+++ b/garnethaven/app/operator.py
@@ -76,7 +76,7 @@
     if flaws:
         lines = text.splitlines()
         raise OperatorError(_located(path, lines, flaw) for flaw in flaws)
-    return tables
+    return {name: tables[name] for name in PACKAGES if name in tables}
 
 
 def _located(path: str, lines: list[str], flaw: Flaw) -> str:
--- a/garnethaven/app/sidecar.py
+++ b/garnethaven/app/sidecar.py
@@ -42,9 +42,7 @@
         parts.learn = self.transport.learn
         for feature in self.features.values():
             feature.prepare()
-        self.discovery = parts.discovery = Discovery(
-            config, self.engine, self.transport, loop, learn=lambda kind, entries: parts.learn(kind, entries)
-        )
+        self.discovery = parts.discovery = Discovery(config, self.engine, self.transport, loop, parts.learn)
         self.engine.start()
         self.discovery.start(config.known)
         self.listener = parts.listener = Listener(
--- a/garnethaven/backlog.py
+++ b/garnethaven/backlog.py
@@ -69,6 +69,13 @@
         calm = 0 if any(map(waiting, socks)) else calm + 1
 
 
+async def taken_in(handles: list[socket.socket]) -> None:
+    """`emptied`, for second handles, which are closed then; the sockets stay their owners'."""
+    await emptied(handles)
+    for handle in handles:
+        handle.close()
+
+
 def duplicate(descriptor: int) -> socket.socket:
     """A second handle of a socket that a library holds; closing it leaves the socket open."""
     return socket.socket(fileno=os.dup(descriptor))
--- a/garnethaven/extproc/tokens.py
+++ b/garnethaven/extproc/tokens.py
@@ -29,7 +29,7 @@
 from enum import Enum
 from functools import lru_cache
 
-KEY_LEAST = 16  # bytes of a secret
+from garnethaven.tables import Secret
 
 VERSION = 1
 HEAD = struct.Struct(">BBQQHB")  # version, key's mark, sent at, rack, zone, length of the server's name
@@ -62,8 +62,8 @@
 
     def __init__(self, keys: tuple[bytes, ...], valid_ms: int) -> None:
         for key in keys:
-            if len(key) < KEY_LEAST:
-                raise ValueError(f"a key has at least {KEY_LEAST} bytes")
+            if len(key) < Secret.LEAST:
+                raise ValueError(f"a key has at least {Secret.LEAST} bytes")
         self.keys = keys
         self.valid_ms = valid_ms
 
--- a/garnethaven/grpcs/feature.py
+++ b/garnethaven/grpcs/feature.py
@@ -50,10 +50,8 @@
         if self.table.cert:
             self.keyring = keyring_of(self.table, self._say)
             self._look()
-        context = self.keyring.context if self.keyring is not None else None
-        admits = self.keyring.admits if self.keyring is not None else lambda peer: True
-        classes = parts.listener.classes
-        self.front = Front(self.table, parts.engine, carrier, classes, context, admits)
+        secured = (self.keyring.context, self.keyring.admits) if self.keyring is not None else ()
+        self.front = Front(self.table, parts.engine, carrier, parts.listener.classes, *secured)
         await self.front.start(self.table.listen)
 
     def _say(self, text: str) -> None:
--- a/garnethaven/grpcs/front.py
+++ b/garnethaven/grpcs/front.py
@@ -37,7 +37,7 @@
 from h2.settings import SettingCodes
 
 from garnethaven.addresses import Address
-from garnethaven.backlog import duplicate, emptied
+from garnethaven.backlog import duplicate, taken_in
 from garnethaven.engine.calls import Call
 from garnethaven.engine.classes import Classes
 from garnethaven.engine.engine import MS, Engine
@@ -581,10 +581,8 @@
 
     async def _end_listening(self, server: asyncio.Server, at_once: bool) -> None:
         """Take what has arrived, so that each learns that it must go elsewhere, then close."""
-        socks = [] if at_once else [duplicate(sock.fileno()) for sock in server.sockets]
-        await emptied(socks)
-        for sock in socks:
-            sock.close()
+        if not at_once:
+            await taken_in([duplicate(sock.fileno()) for sock in server.sockets])
         server.close()
 
     def look(self) -> None:
--- a/garnethaven/keys/authority.py
+++ b/garnethaven/keys/authority.py
@@ -51,7 +51,7 @@
         """A certificate for these DNS names and addresses; returns its file."""
         if not name or "/" in name or name.startswith("."):
             raise KeysError(f"{name!r} is no name for a file")
-        (issuer,) = certificates(str(self.folder / "authority.pem"))[:1]
+        issuer = self._present()
         signer = self._key("authority.key")
         key = ec.generate_private_key(ec.SECP256R1())
         told = self._builder(name, issuer.subject, key, days)
@@ -64,7 +64,7 @@
 
     def revoke(self, serials: list[int], days: int) -> Path:
         """A list of certificates that are not good any more, in the place of the one before."""
-        (issuer,) = certificates(str(self.folder / "authority.pem"))[:1]
+        issuer = self._present()
         now = datetime.datetime.now(datetime.UTC)
         told = x509.CertificateRevocationListBuilder().issuer_name(issuer.subject)
         told = told.last_update(now - SLACK).next_update(now + datetime.timedelta(days=days))
@@ -86,7 +86,7 @@
         self._write("authority.pem", _public(made))
 
     def _spread(self, before: list[x509.Certificate]) -> None:
-        trusted = certificates(str(self.folder / "authority.pem")) + before
+        trusted = [self._present(), *before]
         self._write("authorities.pem", b"".join(_public(one) for one in trusted))
 
     def _builder(
@@ -103,6 +103,9 @@
             .not_valid_after(now + datetime.timedelta(days=days))
         )
 
+    def _present(self) -> x509.Certificate:
+        return certificates(str(self.folder / "authority.pem"))[0]
+
     def _key(self, name: str) -> ec.EllipticCurvePrivateKey:
         key = serialization.load_pem_private_key(read(str(self.folder / name)), None)
         if not isinstance(key, ec.EllipticCurvePrivateKey):
--- a/garnethaven/keys/command.py
+++ b/garnethaven/keys/command.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 
 from garnethaven.keys.authority import AUTHORITY_DAYS, Authority
-from garnethaven.keys.files import KeysError, certificates, facts_of
+from garnethaven.keys.files import certificates, facts_of
 from garnethaven.keys.validity import holds
 
 DAYS = 90
@@ -68,6 +68,3 @@
         names = ", ".join(facts.names) or "no names"
         state = holds(facts, time.time()).value
         print(f"{path}: {facts.subject}, for {names}: {state}, until {ends:%Y-%m-%d %H:%M} UTC")
-
-
-__all__ = ["KeysError", "main", "parser"]
--- a/garnethaven/keys/keyring.py
+++ b/garnethaven/keys/keyring.py
@@ -76,12 +76,9 @@
         """Read all files anew, by these paths; what can't be used changes nothing."""
         try:
             self.present, self.facts = self._load(paths)
+            self.paths = paths
         except OSError as problem:
             self.log(f"the old certificate is kept: {problem}")
-            return
-        finally:
-            self.seen = self._stamps()
-        self.paths = paths
         self.seen = self._stamps()
 
     def look(self) -> None:
--- a/garnethaven/membership/announcing.py
+++ b/garnethaven/membership/announcing.py
@@ -8,8 +8,7 @@
 from random import Random
 
 from garnethaven.addresses import Address
-from garnethaven.membership.hosts import Hosts
-from garnethaven.membership.keyed import EndpointLostError
+from garnethaven.membership.hosts import EndpointLostError, Hosts
 
 SIGNS = 3  # of life, in the time without one that ends the entry
 
--- a/garnethaven/membership/catchup.py
+++ b/garnethaven/membership/catchup.py
@@ -26,7 +26,7 @@
 | quiet up to r >= R | following, catching up | following | contact is good |
 | doubted | any other than reading | uncertain | read all, proven |
 | compacted | any | catching up | read all, proven |
-| lost | all but reading | broken | contact is lost |
+| lost | any | broken; reading stays reading | contact is lost |
 
 *Proven* is an answer for which the registry's leader vouches (etcd's linearizable reads, Consul's consistent
 mode). Only a proven answer may move R backwards.
@@ -143,9 +143,8 @@
         return [Watch(self.revision)] if self.keeps_history else [Read()]
 
     def lost(self) -> list[Order]:
-        if self.standing is Standing.READING:
-            return []
-        self.standing = Standing.BROKEN
+        if self.standing is not Standing.READING:
+            self.standing = Standing.BROKEN
         return [Contact(False)]
 
     # Answers
@@ -227,15 +226,6 @@
 Value = TypeVar("Value")
 
 
-@dataclass(slots=True)
-class Seen(Generic[Value]):
-    """One key's present life, as this program met it."""
-
-    created: int
-    since_ms: int  # wall clock; 0: it was there before anything was known of it
-    value: Value | None = None
-
-
 class Lives(Generic[Value]):
     """Since when each key's present life is known, and what was made of its value.
 
@@ -246,7 +236,9 @@
 
     def __init__(self, make: Callable[[str, Entry, int], Value | None]) -> None:
         self.make = make
-        self.seen: dict[str, Seen[Value]] = {}
+        # Of each key's present life its creation, and since when it is known: wall clock, 0 where it was
+        # there before anything was known.
+        self.seen: dict[str, tuple[int, int]] = {}
         self.began = False
 
     def take(self, told: Tell, wall_ms: int) -> dict[str, Value | None]:
@@ -258,10 +250,9 @@
                 made[key] = None
                 continue
             known = self.seen.get(key)
-            if known is None or known.created != entry.created:
-                since = wall_ms if self.began else 0
-                known = self.seen[key] = Seen(entry.created, since)
-            known.value = made[key] = self.make(key, entry, known.since_ms)
+            if known is None or known[0] != entry.created:
+                known = self.seen[key] = entry.created, wall_ms if self.began else 0
+            made[key] = self.make(key, entry, known[1])
         self.began = self.began or told.whole
         return made
 
--- a/garnethaven/membership/consul/client.py
+++ b/garnethaven/membership/consul/client.py
@@ -11,7 +11,7 @@
 
 from garnethaven.addresses import Address
 from garnethaven.membership.consul.answers import AnswerError, Told, index_of, keys, services, trust_of
-from garnethaven.membership.keyed import EndpointLostError
+from garnethaven.membership.hosts import EndpointLostError
 from garnethaven.membership.table import Consul
 
 ANSWER_MOST = 64 * 1024 * 1024
--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -66,7 +66,6 @@
         engine: Engine,
         transport: HttpTransport,
         loop: asyncio.AbstractEventLoop,
-        watch_most_s: float = WAIT_MOST_S,
         learn: Callable[[ListKind, Entries], None] | None = None,
     ) -> None:
         self.engine = engine
@@ -84,7 +83,7 @@
         self.address = config.discovery
         self.target = Target(self.pool, self.address)
         self.fresh = FreshList(
-            config.settings.fleet_size, config.settings.ask_within / S, config.seed, watch_most_s
+            config.settings.fleet_size, config.settings.ask_within / S, config.seed, WAIT_MOST_S
         )
         self.call: ListCall | None = None  # the watch
         self.extra: ListCall | None = None  # the call out of turn
--- a/garnethaven/membership/entries.py
+++ b/garnethaven/membership/entries.py
@@ -16,14 +16,14 @@
 
 
 class Entries:
-    """`source` stands before each key of a fact, so that two prefixes never meet."""
+    """`prefix` stands before each key of a fact, so that two places never meet."""
 
     def __init__(self, prefix: str, payload: Payload) -> None:
         self.prefix = prefix
         self.payload = payload
         self.lives: Lives[Fact] = Lives(self._read)
         self.flaws: Counter[str] = Counter()  # entries that could not be used, by reason, since the start
-        self.told: dict[tuple[str, int], str] = {}
+        self.told: dict[tuple[str, int], None] = {}  # the oldest first
         self.unsaid: list[str] = []  # lines for the log
 
     def take(self, told: Tell, wall_ms: int) -> dict[str, Fact | None]:
@@ -41,7 +41,7 @@
         version = (key, entry.modified)
         if version in self.told:
             return
-        self.told[version] = reason
+        self.told[version] = None
         if len(self.told) > FLAWS_MOST:
             del self.told[next(iter(self.told))]
         self.flaws[reason] += 1
--- a/garnethaven/membership/etcd/client.py
+++ b/garnethaven/membership/etcd/client.py
@@ -14,7 +14,7 @@
 from aetcd import rpc
 
 from garnethaven.addresses import Address
-from garnethaven.membership.keyed import EndpointLostError
+from garnethaven.membership.hosts import EndpointLostError
 from garnethaven.membership.table import Tls
 
 ANSWER_MOST = 64 * 1024 * 1024  # bytes of one answer; 5,000 servers take some 2 MiB
--- a/garnethaven/membership/etcd/registration.py
+++ b/garnethaven/membership/etcd/registration.py
@@ -18,7 +18,7 @@
 from garnethaven.addresses import Address
 from garnethaven.membership.announcing import SIGNS, Announcing
 from garnethaven.membership.etcd.client import AuthExpired, Line
-from garnethaven.membership.keyed import EndpointLostError
+from garnethaven.membership.hosts import EndpointLostError
 from garnethaven.membership.payloads import written
 from garnethaven.membership.table import Etcd, EtcdRegistration
 
--- a/garnethaven/membership/etcd/source.py
+++ b/garnethaven/membership/etcd/source.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-from collections import deque
 from random import Random
 
 from garnethaven.addresses import Address
@@ -15,7 +14,8 @@
 from garnethaven.membership.etcd.answers import Answers, WatchEnded, entry_of
 from garnethaven.membership.etcd.client import AuthExpired, Line, Watching
 from garnethaven.membership.etcd.registration import Registered
-from garnethaven.membership.keyed import EndpointLostError, KeyedSource
+from garnethaven.membership.hosts import EndpointLostError
+from garnethaven.membership.keyed import KeyedSource
 from garnethaven.membership.table import ETCD, Etcd
 
 SIGNS_MOST = 3  # asked for without an answer: the watch is dead
@@ -56,18 +56,16 @@
 
     async def _follow(self, settings: Etcd, core: CatchUp, line: Line) -> None:
         """Carry out orders until the member is left; raises what ended it."""
-        waiting: deque[Order] = deque(core.opened())
+        waiting = core.opened()
         while waiting:
-            order = waiting.popleft()
+            order = waiting.pop(0)
             if isinstance(order, Read):
                 self.reads += 1
                 answer = await line.range(settings.prefix)
                 entries = {self._name(kv.key): entry_of(kv) for kv in answer.kvs}
-                waiting.extend(self.carry_out(core.snapshot(answer.header.revision, entries, proven=True)))
+                waiting += self.carry_out(core.snapshot(answer.header.revision, entries, proven=True))
             elif isinstance(order, Watch):
-                waiting.extend(await self._watch(settings, core, line, order.after))
-            else:
-                waiting.extend(self.carry_out([order]))
+                waiting += await self._watch(settings, core, line, order.after)
 
     async def _watch(self, settings: Etcd, core: CatchUp, line: Line, after: int) -> list[Order]:
         """Hear changes until something else has to be done; raises what ended the watch."""
--- a/garnethaven/membership/hosts.py
+++ b/garnethaven/membership/hosts.py
@@ -18,6 +18,14 @@
 REFUSED_S = 2.0  # the least pause after a refusal
 
 
+class EndpointLostError(Exception):
+    """An endpoint can't be used any more; the text is the log's. `refused`: what we are is the reason."""
+
+    def __init__(self, reason: str, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
+
+
 class Hosts:
     def __init__(self, addresses: tuple[tuple[str, int], ...], spread_s: float, rng: Random) -> None:
         if not addresses:
--- a/garnethaven/membership/keyed.py
+++ b/garnethaven/membership/keyed.py
@@ -8,32 +8,23 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Callable, Mapping
 from random import Random
 from typing import ClassVar, Generic, Protocol, TypeVar
 
 from garnethaven.addresses import Address
+from garnethaven.membership.announcing import Announcing
 from garnethaven.membership.catchup import CatchUp, Contact, Order, Tell
-from garnethaven.membership.hosts import Hosts
+from garnethaven.membership.entries import Entries
+from garnethaven.membership.hosts import EndpointLostError, Hosts
 from garnethaven.membership.merger import Merger
-from garnethaven.membership.payloads import Rules
+from garnethaven.membership.payloads import MS, Rules
 from garnethaven.membership.telling import Telling
 
 LASTED_S = 5.0  # an endpoint that was followed for so long is believed in
 
 
-class EndpointLostError(Exception):
-    """An endpoint can't be followed any more; the text is the log's. `refused`: what we are is the reason."""
-
-    def __init__(self, reason: str, refused: bool = False) -> None:
-        super().__init__(reason)
-        self.refused = refused
-
-
-class Registration(Protocol):
-    """A table that wants this program registered."""
-
-
 class Table(Protocol):
     """What the tables of all kinds have."""
 
@@ -46,16 +37,7 @@
     @property
     def rules(self) -> Rules: ...
     @property
-    def register(self) -> Registration | None: ...
-
-
-class Own(Protocol):
-    """This program's own entry in the registry."""
-
-    @property
-    def there(self) -> bool: ...
-    async def withdraw(self) -> None: ...
-    def stop(self) -> None: ...
+    def register(self) -> object | None: ...
 
 
 S = TypeVar("S", bound=Table)
@@ -80,10 +62,10 @@
         self.loop = loop
         self.rng = Random(seed)
         self.telling = Telling(self.name, merger, loop, names, log, settings.cache)
-        self.core = CatchUp(self.keeps_history)
+        self._know_nothing()
         self.task: asyncio.Task[None] | None = None
         self.ended: set[asyncio.Task[None]] = set()
-        self.own: Own | None = None
+        self.own: Announcing | None = None
         self.connects = 0
 
     # Each kind's own
@@ -92,7 +74,7 @@
         """What is followed there: a prefix, a service."""
         raise NotImplementedError
 
-    def announce(self, address: Address, rng: Random) -> Own:
+    def announce(self, address: Address, rng: Random) -> Announcing:
         """Begin to register this program, as the settings want."""
         raise NotImplementedError
 
@@ -107,12 +89,17 @@
     # The source's life
 
     def start(self) -> None:
-        self.telling.start()
+        self.telling.recall()
+        self.telling.contact(False)
         self._begin()
 
-    def _begin(self) -> None:
+    def _know_nothing(self) -> None:
+        """As at the start, of the place that the settings name; what was told of another one stays."""
+        self.telling.settled = False
         self.core = CatchUp(self.keeps_history)
-        self.telling.begin(self.place(), self.settings.rules)
+        self.entries = Entries(self.place(), self.telling.payload(self.settings.rules))
+
+    def _begin(self) -> None:
         self.task = self.loop.create_task(self._run(self.settings, self.core))
 
     def registers(self, address: Address) -> None:
@@ -135,6 +122,7 @@
         again = settings.register != self.settings.register or settings.hosts != self.settings.hosts
         self.settings = settings
         self._stop()
+        self._know_nothing()
         self._begin()
         if again:
             self.registers(address)
@@ -156,10 +144,21 @@
         self.telling.close()
 
     def figures(self) -> dict[str, object]:
-        told: dict[str, object] = {"connects": self.connects, **self.counts()}
+        core = self.core
+        told: dict[str, object] = {
+            "servers": len(self.telling.facts()),
+            "standing": core.standing.value,
+            "revision": core.revision,
+            "age_s": round(self.telling.age_s(), 3),
+            "answers_behind": core.behind,
+            "histories_begun_anew": core.began_anew,
+            "left_out": core.left_out,
+            "flaws": dict(self.entries.flaws),
+            "connects": self.connects,
+        }
         if self.own is not None:
             told["registered"] = self.own.there
-        return self.telling.figures(self.core) | told
+        return told | self.counts()
 
     # One endpoint after another
 
@@ -182,7 +181,6 @@
 
     def _lost(self, core: CatchUp, reason: str) -> None:
         self.carry_out(core.lost())
-        self.telling.contact(False)
         age = self.telling.age_s()
         self.telling.say("down", f"{self.name}: {reason}; the last list is kept, {age:.1f} s old")
 
@@ -191,9 +189,19 @@
         left: list[Order] = []
         for order in orders:
             if isinstance(order, Tell):
-                self.telling.tell(order)
+                self._tell(order)
             elif isinstance(order, Contact):
                 self.telling.contact(order.good)
             else:
                 left.append(order)
         return left
+
+    def _tell(self, told: Tell) -> None:
+        facts = self.entries.take(told, time.time_ns() // MS)
+        if told.whole:
+            facts = self.telling.left_over(facts) | facts
+        if facts:
+            self.telling.merger.change(self.name, facts)
+        flawed = self.entries.say()
+        if flawed:
+            self.telling.say("flaw", f"{self.name}: {flawed}; not used")
--- a/garnethaven/membership/zookeeper/source.py
+++ b/garnethaven/membership/zookeeper/source.py
@@ -7,17 +7,15 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Callable, Mapping
 from random import Random
 
 from msgspec.structs import replace
 
-from garnethaven.membership.cache import Cache
 from garnethaven.membership.hosts import Hosts
 from garnethaven.membership.merger import Merger
-from garnethaven.membership.payloads import MS, Payload
 from garnethaven.membership.table import ZOOKEEPER, ZooKeeper
+from garnethaven.membership.telling import Telling
 from garnethaven.membership.zookeeper.client import Client
 from garnethaven.membership.zookeeper.following import Following, Told
 from garnethaven.membership.zookeeper.records import RecordError
@@ -26,7 +24,6 @@
 from garnethaven.tables import At
 
 RETRY_S = 1.0  # before a directory that could not be followed is tried again
-LINE_S = 5.0  # between two log lines of one kind
 
 
 class RegistrySource:
@@ -47,24 +44,20 @@
         self.merger = merger
         self.loop = loop
         self.rng = Random(seed)
-        self.zones, self.kinds = names
-        self.log = log
-        self.clock_offset = time.time_ns() - time.monotonic_ns()
-        self.said_at: dict[str, float] = {}
+        self.telling = Telling(ZOOKEEPER, merger, loop, names, log, settings.cache)
         self.troubles = 0
         self.retry: asyncio.TimerHandle | None = None
         self.generation = 0
         self.closing: set[asyncio.Task[None]] = set()
         self.settings = settings
         self.register: Register | None = None
-        self.cache = Cache(settings.cache, loop, log, self.clock_offset) if settings.cache else None
         self._set_up(settings)
 
     def _set_up(self, settings: ZooKeeper) -> None:
         self.settings = settings
         self.generation += 1
-        self.settled = False  # whether what an earlier life or another directory told has been replaced
-        payload = Payload(settings.rules, self.zones, self.kinds, self._local)
+        self.telling.settled = False
+        payload = self.telling.payload(settings.rules)
         self.following = Following(settings.root, payload, settings.persistent)
         session = Session(settings.session_timeout_ms, settings.digest or None, settings.read_only)
         self.client = Client(
@@ -76,17 +69,10 @@
             settings.tls.name if settings.tls else "",
         )
 
-    def _local(self, wall_ms: int) -> int:
-        """Local nanoseconds of a wall-clock time; one that is to come counts as now: the coldest there is."""
-        return max(1, min(wall_ms * MS - self.clock_offset, time.monotonic_ns()))
-
     def start(self) -> None:
-        if self.cache is not None:
-            known = self.cache.read()
-            if known:
-                self.merger.change(ZOOKEEPER, known)
-            self.merger.model.lost(ZOOKEEPER, self.loop.time())
-            self.merger.changed.append(self._keep)
+        if self.telling.cache is not None:
+            self.telling.recall()
+            self.telling.contact(False)
         self.client.start()
 
     def registers(self, address: tuple[str, int]) -> None:
@@ -97,7 +83,7 @@
             return
         if wanted.address is None:
             wanted = replace(wanted, address=At(address))
-        self.register = Register(wanted, self.settings.digest or None, self.client, self.log)
+        self.register = Register(wanted, self.settings.digest or None, self.client, self.telling.log)
         if self.client.up_at:
             self.register.up()
             self.client.flush()
@@ -129,8 +115,7 @@
         for task in list(self.closing):
             with contextlib.suppress(asyncio.CancelledError):
                 await task
-        if self.cache is not None:
-            self.cache.close()
+        self.telling.close()
 
     # The client's user
 
@@ -141,11 +126,11 @@
 
     def down(self, reason: str) -> None:
         self.following.names.lost()
-        self.merger.model.lost(ZOOKEEPER, self.loop.time())
-        self.say("down", f"registry: {reason}; the last list is kept, {self.age_s():.1f} s old")
+        self.telling.contact(False)
+        self.telling.say("down", f"registry: {reason}; the last list is kept, {self.age_s():.1f} s old")
 
     def expired(self) -> None:
-        self.say("expired", "registry: our session has expired; that says nothing of the servers")
+        self.telling.say("expired", "registry: our session has expired; that says nothing of the servers")
         if self.register is not None:
             self.register.expired()
 
@@ -173,23 +158,21 @@
         if told.trouble:
             self._trouble(told.trouble)
         if self.following.said:
-            self.say("flaw", f"registry: node {self.following.said}; its server is not used")
+            self.telling.say("flaw", f"registry: node {self.following.said}; its server is not used")
             self.following.said = ""
 
     def _settle(self, prefix: str) -> None:
         """The directory has been read whole: contact is good, and nothing older is left."""
-        self.merger.model.regained(ZOOKEEPER)
-        if not self.settled:
-            self.settled = True
-            facts = self.merger.model.sources[ZOOKEEPER].facts
+        self.telling.contact(True)
+        if not self.telling.settled:
             now = {prefix + name for name in self.following.names.held}
-            self.merger.change(ZOOKEEPER, {key: None for key in list(facts) if key not in now})
+            self.merger.change(ZOOKEEPER, self.telling.left_over(now))
 
     def _trouble(self, trouble: str) -> None:
         """The directory can't be followed just now: nothing is dropped, and it is tried again."""
         self.troubles += 1
-        self.merger.model.lost(ZOOKEEPER, self.loop.time())
-        self.say("trouble", f"registry: {trouble}; the last list is kept")
+        self.telling.contact(False)
+        self.telling.say("trouble", f"registry: {trouble}; the last list is kept")
         if self.retry is None:
             self.retry = self.loop.call_later(RETRY_S, self._follow_again)
 
@@ -203,28 +186,16 @@
 
     def age_s(self) -> float:
         """How long nothing sound has been heard of the registry, in seconds."""
-        return self.merger.model.age_s(ZOOKEEPER, self.loop.time())
-
-    def say(self, kind: str, text: str) -> None:
-        now = self.loop.time()
-        if now - self.said_at.get(kind, -LINE_S) >= LINE_S:
-            self.said_at[kind] = now
-            self.log(text)
+        return self.telling.age_s()
 
     def figures(self) -> dict[str, object]:
-        known = len(self.merger.model.sources[ZOOKEEPER].facts)
         return {
-            "servers": known,
+            "servers": len(self.telling.facts()),
             "standing": self.following.names.standing.value,
             "age_s": round(self.age_s(), 3),
             "troubles": self.troubles,
         }
 
-    def _keep(self) -> None:
-        assert self.cache is not None
-        if self.settled:
-            self.cache.keep(self.merger.model.sources[ZOOKEEPER].facts)
-
 
 class User:
     """The client's user; one that has been replaced by a reload says nothing more."""
--- a/rigs/registry.py
+++ b/rigs/registry.py
@@ -12,7 +12,7 @@
 import random
 import tempfile
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, Generic, Protocol, TypeVar
 
 from rigs.report import Report, print_report
 from rigs.stage import Stage, keeping_book, now
@@ -60,13 +60,31 @@
     async def move(self) -> None: ...
 
 
-class Etcd:
-    name = "etcd"
+C = TypeVar("C", Keys, Catalog)
+
+
+class Kind(Generic[C]):
+    """One kind's clusters: the one that the program follows, and those that a reload has left."""
 
     def __init__(self, estate: Estate) -> None:
         self.estate = estate
-        self.left: list[Keys] = []  # clusters that a reload has left
-        self.cluster = self._made()
+        self.left: list[C] = []
+        self.cluster: C = self._made()
+
+    def _made(self) -> C:
+        raise NotImplementedError
+
+    async def start(self) -> None:
+        await self.cluster.start()
+
+    async def close(self) -> None:
+        clusters: list[C] = [*self.left, self.cluster]
+        for cluster in clusters:
+            await cluster.close()
+
+
+class Etcd(Kind[Keys]):
+    name = "etcd"
 
     def _made(self) -> Keys:
         cluster, estate = Keys(), self.estate
@@ -86,13 +104,6 @@
     def followed(self) -> bool:
         return any(member.watches for member in self.cluster.members)
 
-    async def start(self) -> None:
-        await self.cluster.start()
-
-    async def close(self) -> None:
-        for cluster in (*self.left, self.cluster):
-            await cluster.close()
-
     async def move(self) -> None:
         """To another cluster that holds the same, at its own revision; the old one changes no more."""
         self.left.append(self.cluster)
@@ -138,13 +149,11 @@
             member.cut()
 
 
-class Consul:
+class Consul(Kind[Catalog]):
     name = "consul"
 
     def __init__(self, estate: Estate) -> None:
-        self.estate = estate
-        self.left: list[Catalog] = []  # clusters that a reload has left
-        self.cluster = self._made()
+        super().__init__(estate)
         self.begun_anew = 0
 
     def _made(self) -> Catalog:
@@ -163,13 +172,6 @@
     def followed(self) -> bool:
         return any(agent.writers for agent in self.cluster.agents)
 
-    async def start(self) -> None:
-        await self.cluster.start()
-
-    async def close(self) -> None:
-        for cluster in (*self.left, self.cluster):
-            await cluster.close()
-
     async def move(self) -> None:
         """To another cluster that holds the same; nobody changes the old one any more."""
         self.left.append(self.cluster)
--- a/standins/consul/catalog.py
+++ b/standins/consul/catalog.py
@@ -82,9 +82,8 @@
         self.instances[id] = Instance("node", id, name, address, port, meta, created, at, checks)
 
     def deregister(self, *ids: str) -> None:
-        if any(self.instances.pop(id, None) is not None for id in ids):
-            for id in ids:
-                self.instances.pop(id, None)
+        gone = [self.instances.pop(id) for id in ids if id in self.instances]
+        if gone:
             self._next()
 
     def set_check(self, id: str, check: str, status: str | None) -> None:
--- a/tests/membership/estate.py
+++ b/tests/membership/estate.py
@@ -3,15 +3,45 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import json
+from collections.abc import Callable, Iterable
 from typing import Any
 
+from garnethaven.config import Config
 from garnethaven.interface import Endpoint, ListKind, State
 from garnethaven.membership.model import number_of
 from garnethaven.membership.sources import Sources
 from garnethaven.membership.table import Membership
-from tests.loopback import until
-from tests.membership.world import address, config
+from garnethaven.settings import read_names, read_settings
+from tests.loopback import facts, until
+
+
+def config(seed: int = 1) -> Config:
+    told = facts()
+    return Config(
+        name="t",
+        listen=("127.0.0.1", 999),
+        discovery=("127.0.0.1", 9),
+        seed=seed,
+        memory_mb=64,
+        sockets=256,
+        known={},
+        settings=read_settings(told),
+        names=read_names(told),
+    )
+
+
+def payload(number: int, **changes: Any) -> bytes:
+    told = {
+        "host_port": f"10.0.{number // 250}.{number % 250 + 1}:80",
+        "phase": "SERVING",
+        "cell": number // 3,
+    }
+    return json.dumps(told | changes).encode()
+
+
+def address(number: int) -> tuple[str, int]:
+    return f"10.0.{number // 250}.{number % 250 + 1}", 80
 
 
 class Estate:
@@ -34,18 +64,22 @@
             else:
                 self.module[entry.id] = entry
 
-    def follow(self, settings: Membership, seed: int = 1) -> None:
+    def follow_table(self, settings: Membership, seed: int = 1) -> None:
         loop = asyncio.get_running_loop()
         self.sources = Sources(settings, config(seed), loop, self.learn, self.log.append)
         self.sources.start()
 
-    def source(self, name: str) -> Any:
+    def source_of(self, name: str) -> Any:
         assert self.sources is not None
         return self.sources.registries[name]
 
-    def up(self, most: int = 100) -> set[int]:
+    def numbers(self) -> Iterable[int]:
+        """Of all servers that there may be."""
+        return range(100)
+
+    def up(self) -> set[int]:
         """The numbers of the servers that may be used."""
-        known = {number_of(address(number)): number for number in range(most)}
+        known = {number_of(address(number)): number for number in self.numbers()}
         return {known[one] for one, entry in self.module.items() if entry.state is State.UP}
 
     async def sees(self, *numbers: int) -> None:
--- a/tests/membership/test_consul.py
+++ b/tests/membership/test_consul.py
@@ -26,8 +26,7 @@
 from garnethaven.membership.table import Consul, ConsulHost, ConsulRegistration, Membership
 from standins.consul.cluster import Cluster
 from tests.loopback import run, until
-from tests.membership.estate import Estate, holds
-from tests.membership.world import address, payload
+from tests.membership.estate import Estate, address, holds, payload
 
 
 class World(Estate):
@@ -55,7 +54,7 @@
 
     @property
     def consul(self) -> Any:
-        return self.source("consul")
+        return self.source_of("consul")
 
     def serving(self) -> Any:
         """The agent that is asked now."""
@@ -68,7 +67,7 @@
     made = World(cluster)
     try:
         await made.appear(*numbers)
-        made.follow(Membership(consul=made.settings(token=token, **changes)))
+        made.follow_table(Membership(consul=made.settings(token=token, **changes)))
         await made.sees(*numbers)
         yield made
     finally:
@@ -209,7 +208,7 @@
     async def case() -> None:
         cluster = await Cluster(1, token="secret").start()
         made = World(cluster)
-        made.follow(Membership(consul=made.settings(token="wrong")))
+        made.follow_table(Membership(consul=made.settings(token="wrong")))
         await until(lambda: any("Permission denied" in line for line in made.log))
         assert made.consul.connects <= 2
         await made.close()
--- a/tests/membership/test_etcd.py
+++ b/tests/membership/test_etcd.py
@@ -20,8 +20,7 @@
 from garnethaven.membership.table import Etcd, EtcdHost, EtcdRegistration, Membership, Tls
 from standins.etcd.cluster import Cluster
 from tests.loopback import run, until
-from tests.membership.estate import Estate, holds
-from tests.membership.world import address, payload
+from tests.membership.estate import Estate, address, holds, payload
 
 PREFIX = "/checks/"
 
@@ -44,7 +43,7 @@
 
     @property
     def etcd(self) -> Any:
-        return self.source("etcd")
+        return self.source_of("etcd")
 
     @property
     def core(self) -> Any:
@@ -59,7 +58,7 @@
     made = World(cluster)
     try:
         made.appear(*numbers)
-        made.follow(Membership(etcd=made.settings(user=user, **changes)))
+        made.follow_table(Membership(etcd=made.settings(user=user, **changes)))
         await made.sees(*numbers)
         yield made
     finally:
@@ -189,7 +188,7 @@
         cluster = await Cluster(1).start()
         made = World(cluster)
         made.appear(*range(5000))
-        made.follow(Membership(etcd=made.settings()))
+        made.follow_table(Membership(etcd=made.settings()))
         await until(lambda: len(made.module) == 5000)
         for number in range(200):
             made.appear(number, phase="DRAINING")
@@ -232,7 +231,7 @@
     async def case() -> None:
         cluster = await Cluster(1, user="petrel:secret").start()
         made = World(cluster)
-        made.follow(Membership(etcd=made.settings(user="petrel:wrong")))
+        made.follow_table(Membership(etcd=made.settings(user="petrel:wrong")))
         await until(lambda: any("authentication failed" in line for line in made.log))
         assert made.etcd.connects <= 2
         await made.close()
@@ -312,7 +311,7 @@
                 member.go()
             made.vanish(1)
             again = World(made.cluster)
-            again.follow(Membership(etcd=again.settings(cache=path)))
+            again.follow_table(Membership(etcd=again.settings(cache=path)))
             await again.sees(1, 2)
             for member in made.cluster.members:
                 member.down = False
--- a/tests/membership/test_on_sockets.py
+++ b/tests/membership/test_on_sockets.py
@@ -15,7 +15,8 @@
 from standins.zookeeper.records import Acl
 from standins.zookeeper.tree import Who, digest_id
 from tests.loopback import run, until
-from tests.membership.world import ROOT, World, address, payload, world
+from tests.membership.estate import address, payload
+from tests.membership.world import ROOT, World, world
 
 
 def test_servers_come_and_go_with_their_sessions() -> None:
--- a/tests/membership/test_program.py
+++ b/tests/membership/test_program.py
@@ -95,7 +95,7 @@
         )
         stage.write("/other")
         program.reload(stage.sidecar, str(stage.file))
-        await until(lambda: registry_of(stage.sidecar).settled)
+        await until(lambda: registry_of(stage.sidecar).telling.settled)
         assert [await stage.ask(f"c{n}") for n in range(6)] == [200] * 6
         assert len(peers[0].requests) == before + 6
         stage.write("/other", "form = 3\n")
--- a/tests/membership/test_registry_settings.py
+++ b/tests/membership/test_registry_settings.py
@@ -8,20 +8,12 @@
 
 from garnethaven.app.operator import OperatorError, read_operator
 from garnethaven.membership.table import Membership
+from tests.membership.test_settings import ROOT, read
 from tests.rigs.test_rigs import imported_at_start, play
 
-ROOT = Path(__file__).parent.parent.parent
 GOOD = 'hosts = ["127.0.0.1", "127.0.0.2:9"]\nprefix = "/checks/"\n'
 
 
-def read(text: str, tmp_path: Path) -> Membership:
-    path = tmp_path / "o.toml"
-    path.write_text(text)
-    told = read_operator(str(path))["membership"]
-    assert isinstance(told, Membership)
-    return told
-
-
 def test_nothing_of_it_is_imported_where_it_is_off() -> None:
     assert (
         imported_at_start(
--- a/tests/membership/world.py
+++ b/tests/membership/world.py
@@ -2,73 +2,26 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
-import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
 from msgspec.structs import replace
 
-from garnethaven.config import Config
-from garnethaven.interface import Endpoint, ListKind, State
-from garnethaven.membership.model import number_of
-from garnethaven.membership.sources import Sources
 from garnethaven.membership.table import Membership, ZooKeeper, ZooKeeperHost
-from garnethaven.settings import read_names, read_settings
 from standins.zookeeper.ensemble import Ensemble
 from standins.zookeeper.sessions import Session
-from tests.loopback import facts, until
+from tests.membership.estate import Estate, payload
 
 ROOT = "/checks"
 
 
-def config(seed: int = 1) -> Config:
-    told = facts()
-    return Config(
-        name="t",
-        listen=("127.0.0.1", 999),
-        discovery=("127.0.0.1", 9),
-        seed=seed,
-        memory_mb=64,
-        sockets=256,
-        known={},
-        settings=read_settings(told),
-        names=read_names(told),
-    )
-
-
-def payload(number: int, **changes: Any) -> bytes:
-    told = {
-        "host_port": f"10.0.{number // 250}.{number % 250 + 1}:80",
-        "phase": "SERVING",
-        "cell": number // 3,
-    }
-    return json.dumps(told | changes).encode()
-
-
-def address(number: int) -> tuple[str, int]:
-    return f"10.0.{number // 250}.{number % 250 + 1}", 80
-
-
-class World:
+class World(Estate):
     def __init__(self, ensemble: Ensemble) -> None:
+        super().__init__()
         self.ensemble = ensemble
-        self.sources: Sources = None  # type: ignore[assignment]
-        self.module: dict[int, Endpoint] = {}
-        self.handed_over = 0
-        self.log: list[str] = []
         self.sessions: dict[int, Session] = {}
 
-    def learn(self, kind: ListKind, entries: list[tuple[Endpoint, Any]]) -> None:
-        assert kind is ListKind.DELTA
-        self.handed_over += 1
-        for entry, _ in entries:
-            if entry.state is State.REMOVED:
-                self.module.pop(entry.id, None)
-            else:
-                self.module[entry.id] = entry
-
     # Servers
 
     def appear(self, *numbers: int, **changes: Any) -> None:
@@ -81,15 +34,8 @@
         for number in numbers:
             self.ensemble.expire(self.sessions[number].id)
 
-    def up(self) -> set[int]:
-        known = {number_of(address(number)): number for number in self.sessions}
-        return {known[one] for one, entry in self.module.items() if entry.state is State.UP}
-
-    async def sees(self, *numbers: int) -> None:
-        await until(lambda: self.up() == set(numbers))
-
-    def entry(self, number: int) -> Endpoint:
-        return self.module[number_of(address(number))]
+    def numbers(self) -> Iterable[int]:
+        return self.sessions
 
     # The program's side
 
@@ -98,14 +44,11 @@
         return replace(ZooKeeper(hosts, ROOT, session_timeout_ms=1500, spread_ms=50), **changes)
 
     def follow(self, seed: int = 1, **changes: Any) -> None:
-        settings = Membership(zookeeper=self.registry(**changes))
-        loop = asyncio.get_running_loop()
-        self.sources = Sources(settings, config(seed), loop, self.learn, self.log.append)
-        self.sources.start()
+        self.follow_table(Membership(zookeeper=self.registry(**changes)), seed)
 
     @property
     def source(self) -> Any:
-        return self.sources.registries["zookeeper"]
+        return self.source_of("zookeeper")
 
     @property
     def client(self) -> Any:
