--- a/rigs/registry.py
+++ b/rigs/registry.py
@@ -60,7 +60,7 @@
     async def move(self) -> None: ...
 
 
-C = TypeVar("C", Keys, Catalog)
+C = TypeVar("C", bound=Keys | Catalog)
 
 
 class Kind(Generic[C]):
