Answer operators: readiness, figures, endpoints out by hand, and serve beside an old process

Change: garnethaven/ops (front, figures, bans, shared files, service) and engine/account.py, one account entered where the engine takes a request and at its one way to an answer; the module's event ByHand with one predicate for turns, retries and the figure of excluded endpoints; SO_REUSEPORT from the start, and at a planned end a classic BPF program that leads new connections to the process that listened next. Probed before: with the program of one step, 'second of the group', 40 of 40 connections went to the second socket, and all to the one left after its close; where there is no second socket the kernel goes on by hash, so a plain restart is as before. Two processes share descriptors and memory.

Ruled out: a slow yes from imports (0.4 s at the most), descriptors of two processes (231 of 384).

--- a/garnethaven/app/sidecar.py
+++ b/garnethaven/app/sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +16,8 @@
 from garnethaven.net.listener import Listener
 from garnethaven.net.transport import HttpTransport
 from garnethaven.net.upstream import Pool
+from garnethaven.ops.service import Ops
+from garnethaven.ops.shared import Shared
 from garnethaven.parts import Parts
 
 if TYPE_CHECKING:
@@ -43,6 +46,9 @@
         for feature in self.features.values():
             feature.prepare()
         self.discovery = parts.discovery = Discovery(config, self.engine, self.transport, loop, parts.learn)
+        self.ops = self._make_ops()
+        if self.ops is not None:
+            self.ops.prepare()
         self.engine.start()
         self.discovery.start(config.known)
         self.listener = parts.listener = Listener(
@@ -52,8 +58,28 @@
         self.line = LogLine()
         self.look = loop.call_later(LOOK_S, self._look)
 
+    def _make_ops(self) -> Ops | None:
+        """The operators' side, where the configuration names its address."""
+        config = self.config
+        if config.ops is None:
+            return None
+        shared = Shared(os.environ.get("TMPDIR"), config.name, self.engine.log)
+        names = config.names.grades
+        return Ops(config.ops, self.engine, self.transport, shared, names, self._serves, self._beside)
+
+    def _serves(self) -> bool:
+        """Whether this process takes clients."""
+        return not self.listener.draining
+
+    def _beside(self, others: int) -> None:
+        """So many other processes of this sidecar live: all share its limits."""
+        self.descriptors.share(1 + others)
+        self.transport.pool.memory.share(1 + others)
+
     async def start(self) -> None:
-        """Open the features; raises OSError where an address can't be had."""
+        """Open the operators' address and the features; raises OSError where an address can't be had."""
+        if self.ops is not None:
+            await self.ops.open()
         for feature in self.features.values():
             await feature.open()
 
@@ -72,6 +98,8 @@
         await asyncio.gather(self.listener.finished, *(feature.drain(grace_s) for feature in features))
         for feature in reversed(features):
             await feature.close()
+        if self.ops is not None:
+            self.ops.close()
 
     async def finished(self) -> None:
         """Wait for the planned end."""
--- a/garnethaven/backlog.py
+++ b/garnethaven/backlog.py
@@ -22,7 +22,8 @@
 import struct
 import time
 
-SO_ATTACH_FILTER = 26  # Linux; the socket module does not name it
+SO_ATTACH_FILTER = 26  # Linux; the socket module does not name it, nor the next
+SO_ATTACH_REUSEPORT_CBPF = 51
 LISTENING = 10  # tcpi_state, the first byte of TCP_INFO
 INFO_FORMAT = "=8B5I"  # as far as tcpi_unacked: of a listening socket the length of its backlog
 FLAGS_AT, SYN, SYN_OR_ACK = 13, 0x02, 0x12
@@ -33,21 +34,40 @@
     (0x06, 0, 0, 0),  # drop
     (0x06, 0, 0, 0xFFFFFFFF),  # keep all of it
 )
+# Of the sockets that listen at one address the first is the one that has listened for longest.
+SECOND_CHOSEN = ((0x06, 0, 0, 1),)
 LOOK_S = 0.005  # between two looks at a backlog, and time for handshakes under way to end
 EMPTY_MOST_S = 1.0  # a server that accepts nothing any more must not hold up the end for longer
 
 
 def stop_arrivals(sock: socket.socket) -> None:
     """Let no further connection begin at this listening socket; those that have arrived stay."""
-    code = b"".join(struct.pack("=HBBI", *step) for step in FIRST_DROPPED)
-    held = ctypes.create_string_buffer(code)
-    program = struct.pack("@HP", len(FIRST_DROPPED), ctypes.addressof(held))
     try:
-        sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+        _attach(sock, SO_ATTACH_FILTER, FIRST_DROPPED)
     except OSError:
         sock.listen(0)
 
 
+def lead_to_the_next(sock: socket.socket) -> bool:
+    """Let new connections go to the process that began to listen at this address after this one.
+
+    Where there is no such process the kernel goes on choosing as before. False where the system has no such
+    choice: then `stop_arrivals` at the end has some clients wait a second for the other process.
+    """
+    try:
+        _attach(sock, SO_ATTACH_REUSEPORT_CBPF, SECOND_CHOSEN)
+    except OSError:
+        return False
+    return True
+
+
+def _attach(sock: socket.socket, option: int, steps: tuple[tuple[int, int, int, int], ...]) -> None:
+    code = b"".join(struct.pack("=HBBI", *step) for step in steps)
+    held = ctypes.create_string_buffer(code)
+    program = struct.pack("@HP", len(steps), ctypes.addressof(held))
+    sock.setsockopt(socket.SOL_SOCKET, option, program)
+
+
 def waiting(sock: socket.socket) -> int:
     """How many connections wait to be accepted; 0 where the system does not tell."""
     try:
--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -12,12 +12,14 @@
 import math
 import random
 from bisect import bisect_left
+from dataclasses import replace
 from zlib import crc32
 
 from garnethaven.interface import (
     NEVER_RAN,
     Action,
     AttemptEnded,
+    ByHand,
     Cancel,
     ClientLeft,
     CloseIdle,
@@ -87,6 +89,7 @@
 
     __slots__ = (
         "cell",
+        "entry",
         "error_at",
         "errors",
         "health",
@@ -120,6 +123,7 @@
         self.update(entry)
 
     def update(self, entry: Endpoint) -> None:
+        self.entry = entry
         self.zone = entry.zone
         self.cell = entry.cell
         self.kind = entry.kind
@@ -205,6 +209,8 @@
         self.own_memory = OWN_LEAST  # answers over which one server's pace is smoothed
         self.own_doubt = OWN_DOUBT  # so many of them count as much as its kind
         self.many = Many()
+        self.banned: dict[int, int] = {}  # out by hand, and since when; whatever the list says
+        self.returned: dict[int, tuple[int, int]] = {}  # back by hand: when it went out, when it came back
         self.failed_calls = 0
         # The paper's 10 minutes outlast a failure by far: servers get as long as a restarted one to warm.
         self.half_life = max(1, settings.ramp_time)
@@ -227,6 +233,7 @@
             StreamBegan: self._on_stream_began,
             ProbeEnded: self._on_probe_ended,
             Started: self._on_started,
+            ByHand: self._on_by_hand,
         }
 
     def standing(self, endpoint: int) -> tuple[float, bool]:
@@ -278,12 +285,40 @@
                 self._drop(gone)
         for entry in event.endpoints:
             self._learn(entry)
-        self.pool = [self.servers[k] for k in sorted(self.servers) if self.servers[k].state is State.UP]
+        self._refill()
+
+    def _refill(self) -> None:
+        """Make the pool anew."""
+        self.pool = [s for _, s in sorted(self.servers.items()) if self._selectable(s)]
         self._reweigh()
 
+    def _selectable(self, server: Server) -> bool:
+        """Whether anything new may go there: listed as serving, and not out by hand."""
+        return server.state is State.UP and server.id not in self.banned
+
+    def excluded(self) -> int:
+        """How many listed servers get nothing new."""
+        return sum(not self._selectable(server) for server in self.servers.values())
+
+    def _on_by_hand(self, event: ByHand) -> None:
+        if event.out:
+            self.banned.setdefault(event.endpoint, self.now)
+        elif event.endpoint in self.banned:
+            self.returned[event.endpoint] = (self.banned.pop(event.endpoint), self.now)
+            server = self.servers.get(event.endpoint)
+            if server is not None:  # it was restarted while it was out, and is a new one
+                self.servers[server.id] = Server(self._dated(server.entry))
+        self._refill()
+
+    def _dated(self, entry: Endpoint) -> Endpoint:
+        """The entry, dated by its coming back by hand where the list tells no start since it went out."""
+        out_at, back_at = self.returned.get(entry.id, (entry.started, entry.started))
+        return entry if entry.started >= out_at else replace(entry, started=back_at)
+
     def _learn(self, entry: Endpoint) -> None:
         """Take in a list entry; a server that has started anew is a new one."""
         known = self.servers.get(entry.id)
+        entry = self._dated(entry) if self.returned else entry
         if entry.state is State.REMOVED:
             self._drop(entry.id)
         elif known is not None and known.started == entry.started:
@@ -451,7 +486,7 @@
         server = self.servers.get(endpoint)
         at = bisect_left(self.pool, endpoint, key=lambda one: one.id)
         there = at < len(self.pool) and self.pool[at].id == endpoint
-        if server is None or server.state is not State.UP:
+        if server is None or not self._selectable(server):
             if there:
                 del self.pool[at]
             self._unseat(endpoint)
@@ -890,7 +925,7 @@
         """Whether the rules allow one more attempt of this request, at this server."""
         if self.now >= held.deadline or len(held.attempts) >= self.settings.max_attempts or held.bound:
             return False
-        if server.state is not State.UP:  # drains are kept from the moment they are known
+        if not self._selectable(server):  # drains are kept from the moment they are known
             return False
         if not self.settings.second_copies and any(attempt.open for attempt in held.attempts):
             return False
--- a/garnethaven/config.py
+++ b/garnethaven/config.py
@@ -27,6 +27,7 @@
     known: dict[str, Any]  # the endpoint list as this sidecar last had it, in discovery's form
     settings: Settings
     names: Names
+    ops: Address | None = None  # where operators call; None: nowhere
 
 
 def read_config(environment: Mapping[str, str], anew: bool = False) -> Config:
@@ -44,7 +45,7 @@
         raise ConfigError(f"{path} cannot be read: {problem}") from None
     if not isinstance(told, dict):
         raise ConfigError(f"{path} does not hold an object")
-    for name in ("name", "listen", "discovery"):
+    for name in ("name", "listen", "discovery", "ops"):
         given = environment.get(f"NODE_{name.upper()}")
         told[name] = (told.get(name) or given) if anew else (given or told.get(name))
     limits = _field(told, "limits", dict)
@@ -63,6 +64,7 @@
         known=_field(told, "known", dict),
         settings=settings,
         names=names,
+        ops=_address(told, "ops") if told.get("ops") is not None else None,
     )
 
 
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -26,6 +26,7 @@
 from typing import Any, Protocol
 
 from garnethaven.brain import Balancer
+from garnethaven.engine.account import Account, End
 from garnethaven.engine.calls import Attempt, Call
 from garnethaven.interface import (
     Action,
@@ -68,6 +69,7 @@
     def __init__(self, name: str, settings: Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
         self.name = name
         self.settings = with_unsafe_twins(settings)
+        self.account = Account(len(settings.grades))
         self.loop = loop
         self.balancer = Balancer(self.settings, seed)
         self.queue: deque[Event] = deque()
@@ -127,7 +129,7 @@
             self.at(time.monotonic_ns() + S, lambda _: self.watch(), None)
         call = self.calls.get(getattr(event, "id", ""))
         if call is not None and not call.answered and not call.open:
-            self._answer(call, lambda: call.client.failed(500))
+            self._answer(call, lambda: call.client.failed(500), End.FAILED)
             if not isinstance(event, ClientLeft):
                 self.post(ClientLeft(call.id))
 
@@ -183,6 +185,7 @@
         if call.call_id in self.open_ids:
             return False
         self.open_ids.add(call.call_id)
+        self.account.take(call.grade)
         call.id = str(next(self.numbers))
         call.taken_at = time.monotonic_ns()
         call.deadline = call.taken_at + call.budget
@@ -197,15 +200,16 @@
         """The client has gone away; nothing is owed any more."""
         if call.answered:
             return
-        self._answer(call, lambda: None)
+        self._answer(call, lambda: None, End.GONE)
         self.post(ClientLeft(call.id))
 
-    def _answer(self, call: Call, say: Callable[[], None]) -> None:
+    def _answer(self, call: Call, say: Callable[[], None], end: End) -> None:
         """The only way to a client's final answer."""
         if call.answered:
             return
         call.answered = True
         call.request = None
+        self.account.end(call.grade, end)
         self.open_ids.discard(call.call_id)
         if not call.open:
             self._forget(call)
@@ -219,13 +223,14 @@
     def _refuse(self, action: Refuse) -> None:
         call = self.calls.get(action.id)
         if call is not None:
-            self._answer(call, lambda: call.client.refused(action.retry_after, action.over_share))
+            say = lambda: call.client.refused(action.retry_after, action.over_share)  # noqa: E731
+            self._answer(call, say, End.REFUSED)
 
     def _fail(self, action: Fail) -> None:
         call = self.calls.get(action.id)
         if call is not None:
             late = time.monotonic_ns() >= call.deadline
-            self._answer(call, lambda: call.client.failed(504 if late else 502))
+            self._answer(call, lambda: call.client.failed(504 if late else 502), End.FAILED)
 
     def _time_is_up(self, call: Call) -> None:
         for attempt in call.attempts:
@@ -233,7 +238,7 @@
                 self._time_out(attempt)
         if not call.answered:
             # Held with nothing under way: the module was not told of its end by any attempt.
-            self._answer(call, lambda: call.client.failed(504))
+            self._answer(call, lambda: call.client.failed(504), End.FAILED)
             self.post(ClientLeft(call.id))
 
     # Attempts
@@ -288,7 +293,7 @@
         if outcome is not Outcome.CONNECT_FAILED or attempt.refused:
             self.contradicts(attempt.endpoint, outcome)
         if say is not None:
-            self._answer(call, say)
+            self._answer(call, say, End.SERVED if outcome is Outcome.DONE else End.FAILED)
         if call.answered and not call.open:
             self._forget(call)
         duration = time.monotonic_ns() - attempt.sent_at
--- a/garnethaven/interface.py
+++ b/garnethaven/interface.py
@@ -188,7 +188,25 @@
     id: str
 
 
-Event = Started | Membership | Request | StreamBegan | AttemptEnded | ProbeEnded | TimerFired | ClientLeft
+@dataclass(slots=True)
+class ByHand:
+    """An operator takes an endpoint out, whatever the list says of it, or puts it back."""
+
+    endpoint: int
+    out: bool
+
+
+Event = (
+    Started
+    | Membership
+    | Request
+    | StreamBegan
+    | AttemptEnded
+    | ProbeEnded
+    | TimerFired
+    | ClientLeft
+    | ByHand
+)
 
 
 # Actions
--- a/garnethaven/limits/budgets.py
+++ b/garnethaven/limits/budgets.py
@@ -30,6 +30,12 @@
     """How many connections clients and endpoints may hold; counts, `total` being the process's limit."""
 
     def __init__(self, total: int) -> None:
+        self.total = total
+        self.share(1)
+
+    def share(self, processes: int) -> None:
+        """So many processes of one sidecar share what the platform gives."""
+        total = self.total // processes
         self.shared = max(2 * LEAST, total - SPARE)
         self.sure = max(LEAST, int(self.shared * SURE_PART))
 
@@ -49,8 +55,13 @@
     """What answers may take up together, in bytes; `memory_mb` is the process's limit."""
 
     def __init__(self, memory_mb: int) -> None:
-        self.most = int(memory_mb * MB * ANSWERS_PART)
+        self.memory_mb = memory_mb
         self.held = 0
+        self.share(1)
+
+    def share(self, processes: int) -> None:
+        """So many processes of one sidecar share what the platform gives."""
+        self.most = int(self.memory_mb * MB * ANSWERS_PART) // processes
 
     def grows(self, size: int) -> None:
         self.held += size
--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -37,6 +37,11 @@
 Entries = list[tuple[Endpoint, Address | None]]
 
 
+def number_of(endpoint: str) -> int:
+    """The module's number of an endpoint's id, the same at every sidecar."""
+    return int.from_bytes(endpoint.encode(), "big")
+
+
 class ListError(Exception):
     """Discovery's answer is not a list."""
 
@@ -277,8 +282,7 @@
         if state is State.UP and (address is None or not sound):
             state = State.DRAINING
         entry = Endpoint(
-            # Names are the same at every sidecar, and so must the numbers be.
-            id=int.from_bytes(member["id"].encode(), "big"),
+            id=number_of(member["id"]),
             zone=self.zones.get(str(member.get("locality")), len(self.zones)),
             kind=self.kinds.get(str(member.get("flavor")), len(self.kinds)),
             cell=cell if sound else 0,
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -11,7 +11,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from garnethaven.backlog import LOOK_S, stop_arrivals, waiting
+from garnethaven.backlog import LOOK_S, lead_to_the_next, stop_arrivals, waiting
 from garnethaven.config import Config
 from garnethaven.engine.calls import Call
 from garnethaven.engine.classes import Classes, key_of
@@ -526,6 +526,8 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         # A restart must have the address at once, whatever the last life's connections wait for.
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # And a new version before the old one has gone: both listen for a while.
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self.sock.setblocking(False)
         self.sock.bind(config.listen)
         self.sock.listen(1024)
@@ -661,6 +663,7 @@
             return
         self.draining = True
         now = self.loop.time()
+        lead_to_the_next(self.sock)
         self.accepted_at = max(self.accepted_at, now)
         self.loop.call_at(now + DRAIN_IDLE_S, self._close_idle)
         self.loop.call_at(now + DRAIN_LISTEN_S, self._stop_listening, now + DRAIN_LISTEN_MOST_S)
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -13,6 +13,7 @@
 from garnethaven.engine.engine import MS, Engine, S
 from garnethaven.engine.outcomes import outcome_of
 from garnethaven.interface import (
+    ByHand,
     Effect,
     Endpoint,
     ListKind,
@@ -74,6 +75,9 @@
         else:
             target.start(self, transport.dial_timeout)
 
+    def went_out(self) -> None:
+        self.transport.engine.account.attempts += 1
+
     def answered(self, answer: Answer) -> None:
         outcome = outcome_of(answer.status, answer.header(b"x-rejected") == b"1")
         engine, report = self.transport.engine, self.transport.report(answer)
@@ -119,6 +123,7 @@
         self.settings = settings
         self.pool = make_pool(loop, connections, settings.conn_idle / S, AnswerMemory(memory_mb))
         self.targets: dict[int, Target] = {}
+        self.out: set[int] = set()  # by hand: these take nothing new, whatever the list says
         self.pool.targets = self.targets.values
         self.dial_timeout = (settings.dial_timeout or S) / S
         engine.prober = self
@@ -189,8 +194,18 @@
             if told[known] is State.REMOVED:
                 del self.targets[known]
                 target.move(None)  # what is still in use there is closed when it comes back
-            target.close_idle()
-            target.abandon_waiting()
+            target.stop()
+
+    def by_hand(self, endpoint: int, out: bool) -> None:
+        """An operator takes an endpoint out or puts it back; what it works on ends as ever."""
+        (self.out.add if out else self.out.discard)(endpoint)
+        self.engine.post(ByHand(endpoint, out))
+        target = self.targets.get(endpoint)
+        if target is None:
+            return
+        target.stop()  # also where it comes back: what is idle leads to the process that has gone
+        if not out:
+            target.move(target.address)
 
     def _learn_target(self, entry: Endpoint, address: Address | None) -> None:
         target = self.targets.get(entry.id)
@@ -199,3 +214,5 @@
         else:
             target.move(address)
         target.began(entry.started)
+        if entry.id in self.out:
+            target.stop()
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -81,6 +81,9 @@
     def broken(self, written: bool) -> None:
         """No answer will come; `written` tells whether the last byte of the request went out."""
 
+    def went_out(self) -> None:
+        """The request's last byte is with the kernel."""
+
     def written(self) -> bool:
         return self.connection is not None and self.connection.flushed
 
@@ -127,7 +130,13 @@
         self.transport.set_write_buffer_limits(high=0)
 
     def resume_writing(self) -> None:
-        self.flushed = True
+        self._went_out()
+
+    def _went_out(self) -> None:
+        if not self.flushed:
+            self.flushed = True
+            if self.exchange is not None:
+                self.exchange.went_out()
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None or self.parser is None:
@@ -234,7 +243,7 @@
         self.flushed = False
         self.transport.writelines(exchange.payload)
         if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
-            self.flushed = True
+            self._went_out()
 
     def usable(self) -> bool:
         """Whether the endpoint has neither closed this idle connection nor written to it.
@@ -432,6 +441,11 @@
         if started:
             self.close_idle(opened_before=started)  # they lead to a process that is gone
 
+    def stop(self) -> None:
+        """Nothing new may reach the endpoint; what it works on goes on."""
+        self.close_idle()
+        self.abandon_waiting()
+
     def abandon_waiting(self) -> None:
         """End what has not been written: nothing new may reach an endpoint that drains or is gone."""
         for exchange in list(self.waiting):
--- /dev/null
+++ b/tests/ops/test_bans.py
@@ -0,0 +1,125 @@
+"""Who is out by hand: the text that outlives a process, and the files of two processes."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from garnethaven.ops.bans import MOST, Bans, BansError
+from garnethaven.ops.shared import Shared
+
+
+def test_a_call_may_come_twice_and_one_back_undoes_both() -> None:
+    bans = Bans("n0")
+    bans.take_out("s-1")
+    bans.take_out("s-1")
+    bans.put_back("s-1")
+    bans.put_back("s-1")
+    assert bans.out == set()
+
+
+def test_what_another_process_wrote_is_told_as_changes() -> None:
+    one, other = Bans("n0"), Bans("n0")
+    one.take_out("s-1")
+    one.take_out("s/ü 2")
+    assert other.read(one.text()) == [("s-1", True), ("s/ü 2", True)]
+    one.put_back("s-1")
+    assert other.read(one.text()) == [("s-1", False)]
+    assert other.read(one.text()) == []
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        '{"version": 1, "name": "n0", "out": ["s-',
+        '{"version": 2, "name": "n0", "out": []}',
+        '{"version": 1, "name": "n1", "out": []}',
+        '{"version": 1, "name": "n0", "out": [1]}',
+        '{"version": 1, "name": "n0", "out": "s-1"}',
+        '{"version": 1, "name": "n0"}',
+        "[]",
+        "[" * 100_000,
+    ],
+)
+def test_what_this_sidecar_did_not_write_changes_nothing(text: str) -> None:
+    bans = Bans("n0")
+    bans.take_out("s-1")
+    with pytest.raises(BansError):
+        bans.read(text)
+    assert bans.out == {"s-1"}
+
+
+def test_there_is_an_end_to_them() -> None:
+    bans = Bans("n0")
+    for number in range(MOST):
+        bans.take_out(str(number))
+    with pytest.raises(BansError):
+        bans.take_out("one more")
+    bans.take_out("0")  # is out already
+
+
+def test_a_ban_reaches_the_other_process_and_a_later_one(tmp_path: Path) -> None:
+    said: list[str] = []
+    old, new = (Shared(str(tmp_path), "n0", said.append) for _ in range(2))
+    old.change("s-1", True)
+    assert new.news() == [("s-1", True)] and new.news() == []
+    new.change("s-1", False)
+    new.change("s-2", True)
+    assert old.news() == [("s-2", True), ("s-1", False)]
+    assert Shared(str(tmp_path), "n0", said.append).news() == [("s-2", True)]
+    assert Shared(str(tmp_path), "n1", said.append).news() == []
+    assert said == []
+
+
+def test_two_that_change_at_once_lose_neither(tmp_path: Path) -> None:
+    one, other = (Shared(str(tmp_path), "n0", print) for _ in range(2))
+    one.change("s-1", True)
+    assert other.change("s-2", True) == [("s-1", True)]
+    assert other.bans.out == {"s-1", "s-2"}
+
+
+def test_a_file_that_is_cut_is_left_alone(tmp_path: Path) -> None:
+    said: list[str] = []
+    path = tmp_path / "petrelspan-n0.json"
+    path.write_text('{"version": 1, "na')
+    shared = Shared(str(tmp_path), "n0", said.append)
+    assert shared.news() == [] and shared.news() == []
+    assert len(said) == 1 and path.read_text() == '{"version": 1, "na'
+
+
+def test_without_a_folder_a_ban_holds_here(tmp_path: Path) -> None:
+    shared = Shared(None, "n0", print)
+    shared.enter()
+    shared.change("s-1", True)
+    assert shared.bans.out == {"s-1"} and shared.others() == 0
+    gone = Shared(str(tmp_path / "none"), "n0", print)
+    with pytest.raises(OSError):
+        gone.change("s-1", True)
+
+
+def test_a_process_is_seen_while_it_lives_and_not_after(tmp_path: Path) -> None:
+    script = (
+        "import sys\n"
+        "from garnethaven.ops.shared import Shared\n"
+        f"one = Shared({str(tmp_path)!r}, 'n0', print)\none.enter()\n"
+        "print('in', flush=True)\nsys.stdin.read()"
+    )
+    root = Path(__file__).parents[2]
+    process = subprocess.Popen(
+        [sys.executable, "-c", script], cwd=root, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
+    assert process.stdout is not None and process.stdout.readline() == b"in\n"
+    shared = Shared(str(tmp_path), "n0", print)
+    shared.enter()
+    assert shared.others() == 1
+    process.kill()  # it can't say that it leaves
+    process.wait()
+    assert shared.others() == 0
+    assert os.listdir(tmp_path) == [f"petrelspan-n0-{os.getpid()}.life"]
+    shared.leave()
+    assert os.listdir(tmp_path) == []
--- /dev/null
+++ b/tests/ops/test_figures.py
@@ -0,0 +1,37 @@
+"""The account of requests, and its text."""
+
+from __future__ import annotations
+
+import random
+
+from garnethaven.engine.account import Account, End
+from garnethaven.ops.figures import Endpoints, rendered
+
+
+def test_every_request_taken_is_in_exactly_one_place() -> None:
+    rng = random.Random(7)
+    account, open_grades = Account(2), []
+    for _ in range(2000):
+        if rng.random() < 0.5:
+            grade = rng.randrange(4)  # 2 and 3 are the unsafe twins of 0 and 1
+            account.take(grade)
+            open_grades.append(grade)
+        elif open_grades:
+            account.end(open_grades.pop(rng.randrange(len(open_grades))), rng.choice(list(End)))
+        for grade in range(2):
+            ended = sum(counts[grade] for counts in account.ended.values())
+            assert account.taken[grade] == ended + sum(one % 2 == grade for one in open_grades)
+        assert account.in_flight == len(open_grades)
+
+
+def test_the_text_has_the_names_of_the_page() -> None:
+    account = Account(2)
+    account.take(0)
+    account.at_once(3, End.REFUSED)
+    account.attempts = 5
+    lines = rendered(account, ("check", 'a"b\\c\nd'), Endpoints(7, 2)).splitlines()
+    assert 'edge_node_served{class="check"} 0' in lines
+    assert 'edge_node_refused{class="a\\"b\\\\c\\nd"} 1' in lines
+    assert lines[-1] == "edge_node_endpoints_excluded 2"
+    assert {"edge_node_attempts 5", "edge_node_in_flight 1", "edge_node_endpoints_known 7"} <= set(lines)
+    assert "# TYPE edge_node_served counter" in lines and "# TYPE edge_node_in_flight gauge" in lines
--- /dev/null
+++ b/tests/ops/test_front.py
@@ -0,0 +1,155 @@
+"""The operators' address on loopback: calls, noise, callers that stall, and what a call out does to sends."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from garnethaven.ops.front import PLACES
+from garnethaven.ops.service import Ops
+from garnethaven.ops.shared import Shared
+from tests.loopback import ANSWER, WAIT_S, Sidecar, request, run, running, says
+
+
+async def opened(sidecar: Sidecar, folder: Path) -> tuple[Ops, int]:
+    shared = Shared(str(folder), "t", sidecar.engine.log)
+    ops = Ops(
+        ("127.0.0.1", 0),
+        sidecar.engine,
+        sidecar.transport,
+        shared,
+        sidecar.config.names.grades,
+        lambda: not sidecar.listener.draining,
+        lambda others: None,
+    )
+    ops.prepare()
+    await ops.open()
+    return ops, ops.front.sock.getsockname()[1]
+
+
+async def call(port: int, text: bytes) -> tuple[int, str]:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(text)
+    answer = await asyncio.wait_for(reader.read(), WAIT_S)  # to its close
+    writer.close()
+    return int(answer.split()[1]), answer.partition(b"\r\n\r\n")[2].decode()
+
+
+def asks(method: str, path: str) -> bytes:
+    return f"{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode()
+
+
+def out(name: str) -> bytes:
+    return asks("POST", f"/_endpoints/detach/{name}")
+
+
+def back(name: str) -> bytes:
+    return asks("POST", f"/_endpoints/attach/{name}")
+
+
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        (asks("GET", "/_ready"), 200),
+        (asks("GET", "/_vars?x=1"), 200),
+        (asks("POST", "/_ready"), 405),
+        (asks("GET", "/_endpoints/detach/s0"), 405),
+        (asks("GET", "/nothing"), 404),
+        (asks("POST", "/_endpoints/detach/"), 404),
+        (out("s9"), 404),
+        (out("%ff%00"), 404),
+        (back("s9"), 404),
+        (back("s0"), 200),
+        (out("%730"), 200),  # s0
+        (b"\x00noise\r\n", 400),
+        (b"GET / HTTP/1.1\r\nX: " + b"x" * 20_000, 431),
+    ],
+)
+def test_a_call_has_its_answer(text: bytes, status: int, tmp_path: Path) -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            ops, port = await opened(sidecar, tmp_path)
+            assert (await call(port, text))[0] == status
+            ops.close()
+
+    run(case())
+
+
+def test_ready_says_no_while_the_planned_end_runs(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            ops, port = await opened(sidecar, tmp_path)
+            sidecar.listener.drain()
+            assert (await call(port, asks("GET", "/_ready")))[0] == 503
+            ops.close()
+
+    run(case())
+
+
+def test_callers_that_stall_keep_nobody_out(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            ops, port = await opened(sidecar, tmp_path)
+            stalled = [await asyncio.open_connection("127.0.0.1", port) for _ in range(PLACES)]
+            for _, writer in stalled:
+                writer.write(b"GET /_ready HT")
+            for _ in range(3):
+                assert (await call(port, asks("GET", "/_ready")))[0] == 200
+            assert await asyncio.wait_for(stalled[0][0].read(), WAIT_S) == b""  # it has waited longest
+            for _, writer in stalled:
+                writer.close()
+            ops.close()
+
+    run(case())
+
+
+def test_nothing_goes_to_what_is_out_whatever_the_list_says(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with running(says(ANSWER), says(ANSWER)) as (sidecar, (first, second)):
+            ops, port = await opened(sidecar, tmp_path)
+            assert (await call(port, out("s0")))[0] == 200
+            members = [first.member("s0"), second.member("s1")]
+            for listed in (members, members[1:], members):  # off the list and back on it
+                sidecar.tell(listed)
+                for number in range(6):
+                    assert (await sidecar.ask(request(X_Call_Id=f"{len(listed)}-{number}")))[0] == 200
+            assert first.requests == [] and len(second.requests) == 18
+            assert "edge_node_endpoints_excluded 1" in (await call(port, asks("GET", "/_vars")))[1]
+            assert (await call(port, back("s0")))[0] == 200
+            while not first.requests:
+                await sidecar.ask(request(X_Call_Id=f"b{len(second.requests)}"))
+            ops.close()
+
+    run(case())
+
+
+def test_with_all_of_them_out_requests_are_refused_at_once(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, (peer,)):
+            ops, port = await opened(sidecar, tmp_path)
+            assert (await call(port, out("s0")))[0] == 200
+            assert (await sidecar.ask(request()))[0] == 503 and peer.requests == []
+            ops.close()
+            ops, port = await opened(sidecar, tmp_path)  # as a next version does
+            assert ops.shared.bans.out == {"s0"}
+            ops.close()
+
+    run(case())
+
+
+def test_figures_are_what_peers_saw(tmp_path: Path) -> None:
+    async def case() -> None:
+        refusal = b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+        async with running(says(ANSWER), says(refusal)) as (sidecar, peers):
+            ops, port = await opened(sidecar, tmp_path)
+            seen = [(await sidecar.ask(request(X_Call_Id=f"c{n}")))[0] for n in range(12)]
+            text = (await call(port, asks("GET", "/_vars")))[1]
+            assert f'edge_node_served{{class="check"}} {seen.count(200)}' in text
+            assert f'edge_node_refused{{class="check"}} {seen.count(503)}' in text
+            assert f"edge_node_attempts {sum(len(peer.requests) for peer in peers)}" in text
+            assert "edge_node_in_flight 0" in text
+            ops.close()
+
+    run(case())
