Let long bodies and answers flow, and tell slow peers from bad ones by their bytes

The 400s of sound requests came from white space behind values, which the parser leaves there (b'480 ' is no number): found by printing what wanted() gave up on.

Change: net/flow.py leads a body to one endpoint with back-pressure, kept for another endpoint up to 64 KiB; answers over 64 KiB go on from their first part (the module's StreamBegan, the engine's began); the module takes a request that is still coming without timing it, the engine's clock for it starts at the last byte. SO_RCVBUF bounds what one read brings.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -81,6 +81,7 @@
 FULL_SPREAD = 50  # sidecars whose calls to discovery need all the time that rules allow
 
 SECOND = 1_000_000_000
+COMING_MOST = 900 * SECOND  # for a request to be whole; who reads it bounds that far closer
 WATCH_TOKEN = 0  # the one timer that belongs to no request
 
 
@@ -150,6 +151,7 @@
         "aim_at",
         "attempts",
         "bound",
+        "coming",
         "deadline",
         "grade",
         "grade_index",
@@ -174,6 +176,10 @@
         self.over_share = False  # turned away, and its tenant sends more than its share
         self.judged = elapsed > 0  # counted as in time or late; a later try says little of the servers
         self.bound = False  # a stream has begun: the attempt is the client's
+        self.coming = request.coming  # its body takes its time: that tells nothing of the servers
+        if request.coming:
+            self.aim_at = self.deadline = now + COMING_MOST
+            self.judged = True
 
 
 class Many:
@@ -696,10 +702,12 @@
             held.attempts.append(self._earlier(request.prior))
         self.overload.arrives(self.now)
         self.copies = min(COPY_BURST, self.copies + COPY_SHARE)
+        self.lasting += held.coming
         if self._turned_away(held, request.repeat):
             self._finish(held)
             return
-        self._set_timer(held, min(held.aim_at, held.deadline))
+        if not held.coming:
+            self._set_timer(held, min(held.aim_at, held.deadline))
         copy_at = self._copy_time(held)
         if copy_at > self.now:
             self._set_timer(held, copy_at)
@@ -728,7 +736,7 @@
         """When a second copy is due: late enough to be rare, early enough to come in time."""
         usual = self.usual.get(held.grade_index, 0.0)
         effect = held.grade.effect
-        if not self.settings.second_copies or not usual or effect is Effect.FRAGILE:
+        if not self.settings.second_copies or not usual or effect is Effect.FRAGILE or held.coming:
             return 0
         if self.settings.warm_keys:  # a copy would miss the memory of its key and cost several times more
             return 0
@@ -766,7 +774,7 @@
             attempt = held.attempts[event.attempt]
             attempt.open = False
             attempt.may_have_run = event.outcome not in NEVER_RAN
-        if event.outcome is Outcome.DONE and not held.bound:
+        if event.outcome is Outcome.DONE and not held.bound and not held.coming:
             self.overload.answered(self.now, event.duration / max(1, held.grade.aim))
         if event.final or event.outcome is Outcome.DONE:
             late = event.outcome is not Outcome.DONE or self.now > held.aim_at
@@ -797,7 +805,8 @@
             return
         done = event.outcome is Outcome.DONE
         # A slow server answers everything in the end: without this it would keep its full weight.
-        slow = done and held is not None and not held.bound and self._too_slow(server, held, event.duration)
+        timed = done and held is not None and not held.bound and not held.coming
+        slow = held is not None and timed and self._too_slow(server, held, event.duration)
         if done and not slow:
             self._record_success(server)
         elif held is None or event.attempt >= len(held.attempts) or not held.attempts[event.attempt].blamed:
@@ -845,9 +854,11 @@
         held = self.held.get(event.id)
         if held is not None and not held.bound:
             held.bound = True
-            self.lasting += 1
+            self.lasting += not held.coming
             self._judge(held, late=self.now > held.aim_at)  # how long it lasts from here tells nothing
-            if event.attempt < len(held.attempts):  # that it began is the answer that the pace goes by
+            if (
+                event.attempt < len(held.attempts) and not held.coming
+            ):  # that it began is the answer that the pace goes by
                 taken = self.now - held.attempts[event.attempt].sent_at
                 self.overload.answered(self.now, taken / max(1, held.grade.aim))
 
@@ -880,7 +891,7 @@
     def _forget(self, held: Held) -> None:
         """The client has its answer: drop the request and withdraw what is still out."""
         del self.held[held.id]
-        self.lasting -= held.bound
+        self.lasting -= held.bound or held.coming
         if self.settings.cancel and not held.bound:
             for number, attempt in enumerate(held.attempts):
                 if attempt.open:
--- a/garnethaven/connections/pool.py
+++ b/garnethaven/connections/pool.py
@@ -119,7 +119,8 @@
             (plan.silent if self.silence else plan.ended)(now, self.idle_for)
         elif not kept and not self.received and now - self.began_at < AT_ONCE_S:
             plan.refused(now, self.planned.busy + len(self.planned.idle) - 1)  # taken only to be closed
-        if exchange is None or self.flushed or not kept or exchange.redone:
+        lost = exchange is not None and exchange.body is not None and exchange.body.lost
+        if exchange is None or self.flushed or not kept or exchange.redone or lost:
             super()._break()
             return
         self.drop()
--- a/garnethaven/engine/calls.py
+++ b/garnethaven/engine/calls.py
@@ -55,10 +55,12 @@
         "__weakref__",
         "answered",
         "attempts",
+        "bound",
         "budget",
         "call_id",
         "caller",
         "client",
+        "coming",
         "deadline",
         "grade",
         "id",
@@ -84,4 +86,6 @@
         self.attempts: list[Attempt | None] = []  # None: never sent
         self.open = 0
         self.answered = False
+        self.coming = False  # its last byte is not here yet
+        self.bound: Attempt | None = None  # whose answer goes to the client as it comes
         self.prior: Prior | None = None  # an attempt of an earlier life, which counts as the first
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -47,6 +47,7 @@
     SetTimer,
     Settings,
     Started,
+    StreamBegan,
     TimerFired,
     Watch,
 )
@@ -54,6 +55,7 @@
 MS = 1_000_000
 S = 1_000_000_000
 LOG_EVERY = S  # one line to stderr in this time
+COMING_MOST = 900 * S  # for a request to be whole; its front bounds that far closer
 
 
 class Prober(Protocol):
@@ -185,22 +187,58 @@
         if call.call_id in self.open_ids:
             return False
         self.open_ids.add(call.call_id)
-        self.account.take(call.grade)
         call.id = str(next(self.numbers))
         call.taken_at = time.monotonic_ns()
         call.deadline = call.taken_at + call.budget
         self.calls[call.id] = call
+        if call.coming:  # its time runs from its last byte
+            call.deadline = call.taken_at + COMING_MOST
+        else:
+            self.account.take(call.grade)
         if call.prior is not None:
             call.attempts.append(None)  # the module counts it as the first
         self.at(call.deadline, self._time_is_up, call)
-        self.post(Request(call.id, call.grade, call.budget, call.caller, call.key, call.repeat, call.prior))
+        self.post(
+            Request(
+                call.id, call.grade, call.budget, call.caller, call.key, call.repeat, call.prior, call.coming
+            )
+        )
+        return True
+
+    def whole(self, call: Call) -> None:
+        """The last byte of a request that was taken while it came is here: its time begins."""
+        if call.answered or not call.coming:
+            return
+        call.coming = False
+        call.taken_at = time.monotonic_ns()
+        call.deadline = call.taken_at + call.budget
+        self.account.take(call.grade)
+        self.at(call.deadline, self._time_is_up, call)
+
+    def began(self, attempt: Attempt) -> bool:
+        """An answer is about to go to the client as it comes: from here on this attempt is the client's.
+
+        False where the client has its answer already, or another attempt's has begun.
+        """
+        call = attempt.call
+        if call.answered or call.bound is not None:
+            return False
+        call.bound = attempt
+        self.post(StreamBegan(call.id, attempt.number))
+        for other in call.attempts:
+            if other is not None and other is not attempt and not other.over:
+                self.cancel(other)
         return True
 
-    def left(self, call: Call) -> None:
-        """The client has gone away; nothing is owed any more."""
+    def left(self, call: Call, end: End = End.GONE) -> None:
+        """The client has gone away, or is shown out by its front; nothing is owed any more."""
         if call.answered:
             return
-        self._answer(call, lambda: None, End.GONE)
+        self._answer(call, lambda: None, end)
+        if call.coming or call.bound is not None:  # the module does not withdraw these
+            for attempt in call.attempts:
+                if attempt is not None and not attempt.over:
+                    self.cancel(attempt)
         self.post(ClientLeft(call.id))
 
     def _answer(self, call: Call, say: Callable[[], None], end: End) -> None:
@@ -209,7 +247,10 @@
             return
         call.answered = True
         call.request = None
-        self.account.end(call.grade, end)
+        if call.coming:
+            self.account.at_once(call.grade, end)
+        else:
+            self.account.end(call.grade, end)
         self.open_ids.discard(call.call_id)
         if not call.open:
             self._forget(call)
@@ -233,6 +274,8 @@
             self._answer(call, lambda: call.client.failed(504 if late else 502), End.FAILED)
 
     def _time_is_up(self, call: Call) -> None:
+        if call.bound is not None or time.monotonic_ns() < call.deadline:
+            return  # the answer has begun, or the request was not whole yet when this was set
         for attempt in call.attempts:
             if attempt is not None and not attempt.over:
                 self._time_out(attempt)
@@ -264,7 +307,7 @@
         attempt.start()
 
     def _time_out(self, attempt: Attempt) -> None:
-        if not attempt.over:
+        if not attempt.over and attempt is not attempt.call.bound:
             # What has not been written whole cannot have run.
             written = attempt.give_up()
             self.attempt_ended(attempt, Outcome.TIMED_OUT if written else Outcome.CONNECT_FAILED)
--- a/garnethaven/interface.py
+++ b/garnethaven/interface.py
@@ -151,6 +151,7 @@
     key: str = ""
     repeat: bool = False
     prior: Prior | None = None
+    coming: bool = False  # its last byte is not here yet: no time of it counts, and it may last
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/garnethaven/net/client.py
@@ -0,0 +1,530 @@
+"""One connection of the application: reading its requests within bounds, writing their answers."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from typing import TYPE_CHECKING, cast
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from garnethaven.engine.account import End
+from garnethaven.engine.calls import Call
+from garnethaven.engine.engine import MS
+from garnethaven.limits.places import FIRST_S, Usage
+from garnethaven.net.flow import BODY_MOST, STALL_S, Body
+from garnethaven.net.requests import (
+    HEAD_LIMIT,
+    HEADERS_MOST,
+    HELD_LIMIT,
+    NOT_PASSED_ON,
+    Incoming,
+    Wanted,
+    wanted,
+)
+from garnethaven.net.transport import HttpAttempt, HttpRequest
+from garnethaven.net.upstream import Answer, Header
+
+if TYPE_CHECKING:
+    from garnethaven.net.listener import Listener
+
+PIPELINED_LIMIT = 64 * 1024
+PIPELINED_MOST = 16  # whole requests that may wait behind one; clients send one at a time
+# A head must come in this time after its first byte, the first one after the connection's start: against
+# clients that say nothing or never end a head, whatever they mean by it. Heads may take 2 s. An application
+# that connects ahead of need finds such connections closed, as any that stands idle.
+HEAD_S = 2.4
+# A body earns its time by its bytes: at so many a second, over a grace; they come at 64 kB a second. Against
+# those that trickle, and by the pause against those that stop. It would do harm to a client that stops
+# for longer; the pages know pauses of 2 s.
+BODY_RATE = 40_000
+BODY_GRACE_S = 2.4
+BODY_PAUSE_S = 2.4
+# After a request that no endpoint may see the next one on its connection is not read for a while: a
+# client that sends the same again at once would take the time of all others. The answer itself is not
+# held. Closing instead would have it connect anew, which costs more.
+PENALTY_S = 0.2
+LINGER_S = 0.5  # after an answer to a request that is not read to its end
+LINGER_BYTES = 256 * 1024
+LINGER_FLOW_S = 6.0  # the same for a long body, whose client may read only once it has written all
+HALF_CLOSED_CHECK_S = 0.005  # the client is on this machine: a reset is back at once
+PHRASES = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+VERSION = b"HTTP/1.1 "
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection of the application: one request at a time, answered in turn."""
+
+    def __init__(self, listener: Listener, sock: socket.socket, overflow: bool) -> None:
+        self.listener = listener
+        self.engine = listener.engine
+        self.sock = sock
+        self.overflow = overflow
+        self.parser: HttpRequestParser | None = HttpRequestParser(self)
+        self.incoming: Incoming | None = None
+        self.in_head = False
+        self.head_size = 0
+        self.ready: deque[Incoming] = deque()  # whole requests, in turn
+        self.unread = bytearray()  # what came while a request was under way
+        self.call: Call | None = None
+        self.flowing: Incoming | None = None  # the request under way, while its body still comes
+        self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
+        self.chunked = False
+        self.old = False  # the client speaks HTTP/1.0
+        self.keep_alive = True
+        self.half_closed = False
+        self.version_sent = False
+        self.closing = False
+        self.lingering = False
+        self.swallowed = 0
+        self.penalised = False
+        self.active_at = listener.loop.time()
+        self.usage = Usage(self.active_at)
+        self.waits_since = self.active_at  # for a whole request; 0: nothing is due
+        self.head_at = self.body_at = 0.0  # when the head was whole, when bytes of the body last came
+        self.unsent = 0
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's own, of no common class
+        self.listener.connections.add(self)
+        self.listener.never_asked += 1
+        self.listener.accepted.discard(self.sock)
+
+    def data_received(self, data: bytes) -> None:
+        self.active_at = self.listener.loop.time()
+        if self.closing:
+            self.swallowed += len(data)
+            if self.swallowed > (BODY_MOST if self.flowing is not None else LINGER_BYTES):
+                self.transport.abort()
+        elif self.flowing is not None:
+            self._feed(data)
+        elif self.call is not None or self.ready or self.penalised:
+            self._keep_for_later(data)
+        else:
+            self._feed(data)
+
+    def eof_received(self) -> bool:
+        """The client writes no more; it may still read.
+
+        Whether it has gone away altogether shows only when something is written to it. Every answer
+        begins alike, so its beginning is sent now: a client that is gone answers with a reset.
+        """
+        if self.call is None or self.closing or self.flowing is not None:
+            return False
+        self.half_closed = True
+        if not self.version_sent:
+            self.version_sent = True
+            self.transport.write(VERSION)
+            self.listener.loop.call_later(HALF_CLOSED_CHECK_S, self._check_gone)
+        return True
+
+    def _check_gone(self) -> None:
+        if self.call is None or self.transport.is_closing():
+            return
+        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.transport.abort()
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        self.closing = True
+        self.incoming = self.flowing = self.passing = None
+        self.ready.clear()
+        self.parser = None  # it holds this object: a cycle that only a full collection would free
+        call, self.call = self.call, None
+        if call is not None:
+            self.engine.left(call)
+        if not self.usage.asked:
+            self.listener.never_asked -= 1
+        self.listener.places.gone(self.usage, self.listener.loop.time())
+        self.listener.forget(self)
+
+    # Reading
+
+    def _keep_for_later(self, data: bytes) -> None:
+        self.unread += data
+        if len(self.unread) > PIPELINED_LIMIT:
+            self.transport.pause_reading()
+
+    def _feed(self, data: bytes) -> None:
+        if self.parser is None:
+            return
+        if not self.waits_since:
+            self.waits_since = self.active_at
+        if self.in_head or self.incoming is None:
+            self.head_size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except HttpParserUpgrade as upgrade:
+            # The offer of another protocol is declined by going on with this one.
+            self.parser = HttpRequestParser(self)
+            self.unread[:0] = data[upgrade.args[0] :]
+        except HttpParserError:
+            if not self.ready:
+                self._reject(400)
+                return
+            self.ready[-1].keep_alive = False  # answered first, then the connection ends
+        if self.in_head and self.head_size > HEAD_LIMIT:
+            self._reject(431)
+        elif self.incoming is not None and self.incoming.status and not self.ready:
+            self._reject(self.incoming.status)  # the rest of it need not be read
+        elif len(self.ready) > PIPELINED_MOST:
+            self._reject(400)
+        else:
+            self._next()
+            self._begin_flow()
+
+    def on_message_begin(self) -> None:
+        self.incoming = Incoming()
+        self.in_head = True
+        self.waits_since = self.waits_since or self.active_at
+
+    def on_url(self, url: bytes) -> None:
+        assert self.incoming is not None
+        self.incoming.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        assert self.incoming is not None
+        if len(self.incoming.headers) < HEADERS_MOST:
+            self.incoming.headers.append((name, value.rstrip()))  # the parser leaves white space there
+        else:
+            self.incoming.status = 431
+
+    def on_headers_complete(self) -> None:
+        incoming = self.incoming
+        assert incoming is not None and self.parser is not None
+        self.in_head = False
+        self.head_at = self.body_at = self.active_at
+        self.old = self.parser.get_http_version() == "1.0"
+        expects = incoming.head_ends(self.parser.get_method(), self.head_size)
+        self.head_size = 0
+        if expects:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        incoming = self.incoming
+        assert incoming is not None
+        self.body_at = self.active_at
+        if incoming.status:
+            return
+        if incoming.flow is None and len(incoming.body) + len(body) > HELD_LIMIT:
+            incoming.flow = Body(self, incoming.length)
+            held, incoming.body = bytes(incoming.body), bytearray()
+            if held:
+                incoming.flow.came(held)
+        if incoming.flow is None:
+            incoming.body += body
+            return
+        incoming.flow.came(body)
+        if incoming.flow.size > BODY_MOST:
+            incoming.status = 413
+
+    def on_message_complete(self) -> None:
+        incoming, self.incoming = self.incoming, None
+        assert incoming is not None and self.parser is not None
+        incoming.keep_alive = self.parser.should_keep_alive()
+        self.waits_since = 0.0
+        if not self.usage.asked:
+            self.listener.never_asked -= 1
+        self.listener.places.asks(self.usage, self.active_at)
+        if incoming.flow is not None:
+            incoming.flow.end()
+        if self.flowing is not incoming:
+            self.ready.append(incoming)
+            return
+        self.flowing = None
+        if self.call is not None:
+            self.engine.whole(self.call)
+
+    # A body that is too long to be held
+
+    def _begin_flow(self) -> None:
+        """Take up a request whose body is still coming, once it is known to be long."""
+        incoming = self.incoming
+        busy = self.call is not None or self.ready or self.closing or self.penalised
+        if incoming is None or incoming.flow is None or busy or self.parser is None:
+            return
+        self.keep_alive = self.parser.should_keep_alive()
+        self.flowing = incoming
+        self._take(incoming)
+
+    def pause_reading(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _end_flow(self) -> None:
+        """What still comes of a request is of no use: nobody waits for its answer any more."""
+        call, self.call = self.call, None
+        if call is not None:
+            self.engine.left(call, End.FAILED)
+
+    # A whole request
+
+    def _next(self) -> None:
+        """Take up the next whole request, if there is one and none is under way."""
+        while self.ready and self.call is None and not self.closing and not self.penalised:
+            incoming = self.ready.popleft()
+            self.keep_alive = incoming.keep_alive
+            self._take(incoming)
+
+    def _take(self, incoming: Incoming) -> None:
+        if incoming.status:
+            self._turn_away(incoming.status)
+            return
+        path = incoming.url.partition(b"?")[0]
+        if path.startswith(b"/-/"):
+            ready = path == b"/-/ready"
+            self._say(404 if not ready else 503 if self.listener.draining else 200)
+            return
+        want = wanted(incoming, self.listener.classes)
+        if want is None:
+            self._turn_away(400)
+        elif self.overflow:
+            self.engine.account.at_once(want.grade, End.REFUSED)
+            self._say(503)
+        else:
+            self.call = call = self._call(incoming, want)
+            if not self.engine.take(call):
+                self.call = None
+                self.engine.account.at_once(want.grade, End.FAILED)
+                self._turn_away(409)
+
+    def _call(self, incoming: Incoming, want: Wanted) -> Call:
+        request = HttpRequest(self, want.head, incoming.flow or incoming.body)
+        call = Call(self, want.call_id, self.listener.transport, request)
+        call.grade = want.grade
+        # No client waits longer than its class does; a larger figure would only hold memory.
+        call.budget = min(want.budget_ms * MS, self.engine.settings.grades[want.grade].deadline)
+        call.caller, call.key, call.repeat = want.caller, want.key, want.again
+        call.coming = incoming.flow is not None and not incoming.flow.whole
+        return call
+
+    # Answering: the engine's side of a call
+
+    def served(self, answer: Answer) -> None:
+        self._write_answer(200, b"".join(answer.body), answer.headers)
+
+    def began(self, attempt: HttpAttempt, answer: Answer) -> None:
+        """The first part of an answer too long to be held; from here on it goes to the client as it comes."""
+        self.passing = attempt
+        if answer.length is not None:
+            framing = b"Content-Length: %d" % answer.length
+        else:
+            self.chunked = not self.old
+            framing = b"Transfer-Encoding: chunked" if self.chunked else b""
+            self.keep_alive = self.keep_alive and self.chunked
+        self.transport.write(self._head(200, answer.headers, framing))
+
+    def more(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self.chunked else data)
+
+    def ended(self) -> None:
+        if not self.transport.is_closing():
+            if self.chunked:
+                self.transport.write(b"0\r\n\r\n")
+            self._answered()
+
+    def broke(self) -> None:
+        """The rest of an answer will not come: the client can tell, for no end of it is written."""
+        self.call = None
+        self.transport.abort()
+
+    def pause_writing(self) -> None:
+        if self.passing is not None:
+            self.passing.pause()
+
+    def resume_writing(self) -> None:
+        if self.passing is not None:
+            self.passing.resume()
+
+    def refused(self, retry_after: int, over_share: bool) -> None:
+        headers = [(b"Retry-After", b"%.3f" % (retry_after / 1e9))] if retry_after else []
+        self._write_answer(503, b"", headers)
+
+    def failed(self, status: int) -> None:
+        self._write_answer(status, b"", [])
+
+    def _say(self, status: int) -> None:
+        """An answer of this side's own, to what the engine does not see."""
+        self._write_answer(status, b"", [])
+
+    def _turn_away(self, status: int) -> None:
+        """Answer a request that no endpoint may see; the connection's next one waits for a while."""
+        self.penalised = True
+        self.usage.turned_away += 1
+        self._say(status)
+        if not self.closing and not self.transport.is_closing():
+            self.transport.pause_reading()
+            self.listener.loop.call_later(PENALTY_S, self._end_penalty)
+
+    def _end_penalty(self) -> None:
+        self.penalised = False
+        if not self.transport.is_closing():
+            self._go_on()
+
+    def _write_answer(self, status: int, body: bytes, headers: list[Header]) -> None:
+        if self.transport.is_closing():
+            self.call = None
+            return
+        if self.passing is not None:
+            self.broke()
+            return
+        head = self._head(status, headers, b"Content-Length: %d" % len(body))
+        self.transport.write(head + body)
+        self._answered()
+
+    def _head(self, status: int, headers: list[Header], framing: bytes) -> bytes:
+        if self.half_closed or self.overflow or self.listener.draining or self.flowing is not None:
+            self.keep_alive = False
+        elif self.keep_alive and not self.ready and not self.unread:
+            self.usage.since = self.listener.loop.time()
+            self.keep_alive = not self.listener.ends_with_answer(self)
+        parts = [b"" if self.version_sent else VERSION, b"%d " % status, PHRASES[status], b"\r\n"]
+        for name, value in headers:
+            if name.lower() not in NOT_PASSED_ON:
+                parts += (name, b": ", value, b"\r\n")
+        if not self.keep_alive:
+            parts.append(b"Connection: close\r\n")
+        if framing:
+            parts += (framing, b"\r\n")
+        parts.append(b"\r\n")
+        return b"".join(parts)
+
+    def _answered(self) -> None:
+        self.call = self.passing = None
+        self.version_sent = self.chunked = False
+        self.active_at = self.usage.since = self.listener.loop.time()
+        if not self.keep_alive:
+            self._close_after_answer()
+        elif (self.unread or self.ready) and not self.penalised:
+            # Not at once: a client that sends ahead must not keep the others waiting.
+            self.listener.loop.call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        if self.call is not None or self.closing or self.penalised:
+            return
+        if self.ready:
+            self._next()
+            return
+        data, self.unread = bytes(self.unread), bytearray()
+        self.transport.resume_reading()
+        if data:
+            self._feed(data)
+
+    def _reject(self, status: int) -> None:
+        """Answer what cannot be read any further, and close."""
+        self.keep_alive = False
+        self.lingering = True
+        if self.flowing is not None:
+            self._end_flow()
+        else:
+            self._count_unheard()
+        self._say(status)
+
+    def _count_unheard(self) -> None:
+        """Enter a request that is answered before it was whole, where it names a class."""
+        grade = self.listener.classes.grades.get(self.incoming.named_class()) if self.incoming else None
+        if grade is not None:
+            self.engine.account.at_once(grade, End.FAILED)
+
+    def _close_after_answer(self) -> None:
+        self.closing = True
+        flowing = self.flowing is not None
+        if not self.lingering and not flowing:
+            self.transport.close()
+            return
+        # Unread bytes at the close would be a reset, and might cost the client its answer.
+        self.transport.resume_reading()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.listener.loop.call_later(LINGER_FLOW_S if flowing else LINGER_S, self.transport.abort)
+
+    # Looked after by the listener
+
+    def waits_for_request(self) -> bool:
+        """Whether nothing of a request has been seen yet."""
+        busy = self.call is not None or self.incoming is not None or self.ready or self.unread
+        return not busy and not self.closing
+
+    def is_idle(self) -> bool:
+        if not self.waits_for_request():
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return not self.transport.get_write_buffer_size()
+        except OSError:
+            pass
+        return False
+
+    def is_new(self, now: float) -> bool:
+        """Whether its first request may be on its way."""
+        return not self.usage.asked and self.listener.places.may_be_asking(self.usage, now)
+
+    def takes_room(self, now: float) -> bool:
+        """Whether it only takes up room: silent or slow, turned away, or answered and not read to the end."""
+        if self.closing:
+            return self.lingering and self not in self.listener.leaving
+        if self.call is not None or self.ready:
+            return False
+        return self.penalised or (self.waits_since > 0.0 and now - self.waits_since >= FIRST_S)
+
+    def _is_overdue(self, now: float) -> bool:
+        incoming = self.incoming
+        if self.waits_since <= 0.0 or self.ready or self.closing:
+            return False
+        if self.call is not None and self.flowing is None:
+            return False
+        if incoming is None or self.in_head:
+            return now - self.waits_since > HEAD_S
+        size = incoming.flow.size if incoming.flow is not None else len(incoming.body)
+        earned = size / BODY_RATE
+        if incoming.flow is not None and incoming.flow.paused:  # by this side
+            self.body_at, self.head_at = now, max(self.head_at, now - earned)
+        return now - self.body_at > BODY_PAUSE_S or now - self.head_at > BODY_GRACE_S + earned
+
+    def look_after(self, now: float) -> None:
+        """End what does not go on: a request that is never finished, an answer that is never read."""
+        unsent = self.transport.get_write_buffer_size()
+        if unsent:
+            if unsent != self.unsent:
+                self.active_at = now
+            elif now - self.active_at > STALL_S:
+                self.transport.abort()
+        elif self._is_overdue(now):
+            if self.incoming is not None:
+                self._reject(408)
+            else:
+                self.stop_reading()
+        elif now - self.active_at > self.listener.calm_idle_s and self.is_idle():
+            self.stop_reading()
+        self.unsent = unsent
+
+    def stop_reading(self) -> None:
+        """The end is near: what is not a whole request by now has not been taken."""
+        if self.call is None and not self.ready and not self.closing:
+            self.closing = True
+            self.listener.leaving.add(self)
+            self.transport.close()
+        elif self.lingering:
+            self.listener.leaving.add(self)
+            self.transport.abort()
--- /dev/null
+++ b/garnethaven/net/requests.py
@@ -0,0 +1,132 @@
+"""A request of the application as it is read, and what of it goes on to an endpoint."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from garnethaven.engine.classes import Classes, key_of
+from garnethaven.net.flow import BODY_MOST, Body
+from garnethaven.net.upstream import Header
+
+HEAD_LIMIT = 32 * 1024
+HELD_LIMIT = 64 * 1024  # a body up to this is held whole; a longer one flows
+HEADERS_MOST = 128
+# Hop by hop, or said anew by this side.
+NOT_PASSED_ON = frozenset(
+    b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length"
+    b" x-budget-ms proxy-authenticate proxy-authorization x-load-report".split()
+)
+# What a `Connection` header can't take away: endpoints know a request and its repeats by these.
+PASSED_ON = frozenset(b"host x-call-id x-call-class x-caller idempotency-key".split())
+
+
+class Incoming:
+    """A request while it is read."""
+
+    __slots__ = ("body", "flow", "headers", "keep_alive", "length", "method", "status", "url")
+
+    def __init__(self) -> None:
+        self.url = b""
+        self.method = b""
+        self.headers: list[Header] = []
+        self.length: int | None = None  # of its body, where the head tells
+        self.body = bytearray()
+        self.flow: Body | None = None  # where the body is too long to be held
+        self.keep_alive = False
+        self.status = 0  # what is wrong with it, as far as it can be told before its end
+
+    def head_ends(self, method: bytes, head_size: int) -> bool:
+        """Judge the head; True where the client waits for a word before it sends the body."""
+        self.method = method
+        if head_size > HEAD_LIMIT and self.head_length() > HEAD_LIMIT:
+            self.status = 431
+        expects = False
+        for name, value in self.headers:
+            lower = name.lower()
+            if lower == b"content-length":
+                self.length = int(value)
+            elif lower == b"expect":
+                expects = value.lower() == b"100-continue"
+        if method not in (b"GET", b"POST"):
+            self.status = 501
+        if (self.length or 0) > BODY_MOST:
+            self.status = 413
+        return expects and not self.status
+
+    def head_length(self) -> int:
+        return len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
+
+    def named_class(self) -> str:
+        return next((value for name, value in self.headers if name.lower() == b"x-call-class"), b"").decode(
+            "latin-1"
+        )
+
+
+@dataclass(slots=True)
+class Wanted:
+    """What a request asks for, as far as the engine wants to know it, and the head that goes on."""
+
+    call_id: bytes
+    grade: int
+    budget_ms: int
+    caller: int
+    key: str
+    again: bool
+    head: tuple[bytes, bytes]  # around the value of X-Budget-Ms
+
+
+def wanted(incoming: Incoming, classes: Classes) -> Wanted | None:
+    """What a request asks for, or None where it lacks what every call has.
+
+    What names a class that the settings don't have is no request of the application: endpoints can't use it
+    either, and would be blamed for turning it away.
+    """
+    call_id = grade = caller = idempotency = budget = b""
+    again = False
+    passed_on = [incoming.method, b" ", incoming.url, b" HTTP/1.1\r\n"]
+    dropped = NOT_PASSED_ON
+    for name, value in incoming.headers:
+        lower = name.lower()
+        if lower == b"x-call-id":
+            if call_id:
+                return None
+            call_id = value
+        elif lower == b"x-call-class":
+            grade = value
+        elif lower == b"x-caller":
+            caller = value
+        elif lower == b"x-budget-ms":
+            budget = value
+        elif lower == b"idempotency-key":
+            idempotency = value
+        elif lower == b"x-again":
+            again = value == b"1"
+        elif lower == b"connection" and value.lower() not in (b"keep-alive", b"close"):
+            dropped = dropped | {part.strip() for part in value.lower().split(b",")} - PASSED_ON
+        if lower not in dropped:
+            passed_on += (name, b": ", value, b"\r\n")
+    if not call_id or not budget.isdigit() or len(budget) > 12 or not int(budget):
+        return None
+    index = classes.grade_of(grade.decode("latin-1"), bool(idempotency))
+    if index is None:
+        return None
+    passed_on.append(_framing(incoming))
+    passed_on.append(b"X-Budget-Ms: ")
+    return Wanted(
+        call_id,
+        index,
+        int(budget),
+        classes.tenant_of(caller.decode("latin-1")),
+        key_of(incoming.url.partition(b"?")[2]),
+        again,
+        (b"".join(passed_on), b"\r\n\r\n"),
+    )
+
+
+def _framing(incoming: Incoming) -> bytes:
+    if incoming.flow is not None and incoming.flow.length is None:
+        return b"Transfer-Encoding: chunked\r\n"
+    length = incoming.flow.length if incoming.flow is not None else len(incoming.body)
+    if length or incoming.method != b"GET":
+        return b"Content-Length: %d\r\n" % (length or 0)
+    return b""
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -25,6 +25,7 @@
     State,
 )
 from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.net.flow import Body
 from garnethaven.net.upstream import Answer, Exchange, Pool, Target
 
 PROBE_LIMIT = S
@@ -37,6 +38,10 @@
     """A client that takes an endpoint's answer."""
 
     def served(self, answer: Answer) -> None: ...
+    def began(self, attempt: HttpAttempt, answer: Answer) -> None: ...
+    def more(self, data: bytes) -> None: ...
+    def ended(self) -> None: ...
+    def broke(self) -> None: ...
 
 
 class HttpRequest:
@@ -44,7 +49,7 @@
 
     __slots__ = ("after", "before", "body", "client")
 
-    def __init__(self, client: Served, head: tuple[bytes, bytes], body: bytes | bytearray) -> None:
+    def __init__(self, client: Served, head: tuple[bytes, bytes], body: bytes | bytearray | Body) -> None:
         self.client = client
         self.before, self.after = head
         self.body = body
@@ -55,11 +60,16 @@
 
     def __init__(self, transport: HttpTransport, call: Call, endpoint: int, limit: int, now: int) -> None:
         request: HttpRequest = call.request
-        head = b"%s%d%s" % (request.before, max(1, limit // MS), request.after)
-        small = len(request.body) <= len(head)
-        super().__init__((head + request.body,) if small else (head, request.body))
+        head = b"%s%d%s" % (request.before, max(1, min(limit, call.budget) // MS), request.after)
+        body = request.body
+        if isinstance(body, Body):
+            super().__init__((head,))
+            self.body = body
+        else:
+            super().__init__((head + body,) if len(body) <= len(head) else (head, body))
         self.transport = transport
         self.call = call
+        self.client: Served = request.client
         self.endpoint = endpoint
         self.number = len(call.attempts)
         self.sent_at = now
@@ -69,7 +79,8 @@
     def start(self) -> None:
         transport = self.transport
         target = transport.targets.get(self.endpoint)
-        if target is None:
+        self.skipped = self.body is not None and self.body.lost  # it can't be sent again
+        if target is None or self.skipped:
             self.over = True
             self.broken(written=False)
         else:
@@ -81,16 +92,37 @@
     def answered(self, answer: Answer) -> None:
         outcome = outcome_of(answer.status, answer.header(b"x-rejected") == b"1")
         engine, report = self.transport.engine, self.transport.report(answer)
-        if outcome is Outcome.DONE and not self.call.answered:
-            client: Served = self.call.request.client
-            engine.attempt_ended(self, outcome, report, lambda: client.served(answer))
+        if self.call.bound is self:
+            engine.attempt_ended(self, outcome, report, self.client.ended)
+        elif outcome is Outcome.DONE and not self.call.answered:
+            engine.attempt_ended(self, outcome, report, lambda: self.client.served(answer))
         else:
             engine.attempt_ended(self, outcome, report)
 
     def broken(self, written: bool) -> None:
         lost = Outcome.STALE if self.stale else Outcome.RESET
         never = Outcome.SKIPPED if self.skipped else Outcome.CONNECT_FAILED
-        self.transport.engine.attempt_ended(self, lost if written else never)
+        say = self.client.broke if self.call.bound is self else None
+        self.transport.engine.attempt_ended(self, lost if written else never, say=say)
+
+    # An answer too long to be held
+
+    def begins(self, answer: Answer) -> bool:
+        if not self.transport.engine.began(self):
+            return False
+        self.client.began(self, answer)
+        return True
+
+    def more(self, data: bytes) -> None:
+        self.client.more(data)
+
+    def pause(self) -> None:
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        if self.connection is not None:
+            self.connection.resume()
 
 
 class ProbeCall(Exchange):
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -18,6 +18,8 @@
 
 from garnethaven.addresses import Address
 from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.net import flow
+from garnethaven.net.flow import BODY_MOST, RECEIVE_BUFFER, Body
 
 Header = tuple[bytes, bytes]
 
@@ -26,6 +28,8 @@
 BODY_LIMIT = 512 * 1024
 # All that is not body together: 1xx answers ahead, the head, chunk sizes, trailers.
 FRAMING_LIMIT = 32 * 1024
+FRAMING_MOST = 8  # times the body, for chunks of a byte each
+HELD_LIMIT = 64 * 1024  # an answer up to this is held whole; a longer one goes on as it comes
 # An answer that has begun comes whole or has broken: an endpoint that spoils the framing keeps the
 # connection open and says nothing more. It also ends answers from a machine that vanishes halfway. It
 # would do harm to endpoints that stop for longer within an answer; they may pause for 0.1 s.
@@ -73,10 +77,18 @@
         self.careful = False  # it must not be lost: no connection in doubt is good enough
         self.again = False  # it repeats a try that was lost, perhaps on a connection in doubt
         self.skipped = False  # nothing was tried, through no fault of the endpoint
+        self.body: Body | None = None  # that comes behind the payload, as it comes from the client
         self.redone = False  # it has been moved to another connection once, for it had not been written
 
     def answered(self, answer: Answer) -> None:
-        """The whole answer has come."""
+        """The whole answer has come; all of its body, or what was not passed on."""
+
+    def begins(self, answer: Answer) -> bool:
+        """Whether an answer that is too long to be held goes on as it comes, by `more`, from now on."""
+        return False
+
+    def more(self, data: bytes) -> None:
+        """More of the body of an answer that has begun."""
 
     def broken(self, written: bool) -> None:
         """No answer will come; `written` tells whether the last byte of the request went out."""
@@ -109,6 +121,9 @@
         self.address = address
         self.sock = sock
         self.exchange: Exchange | None = None
+        self.passing = False  # the answer goes on as it comes
+        self.paused = False
+        self.held = 0  # bytes of the answer that are held here
         self.answer = Answer()
         self.parser: HttpResponseParser | None = HttpResponseParser(self)
         self.flushed = True  # the last byte of the request has left our buffer
@@ -130,7 +145,17 @@
         self.transport.set_write_buffer_limits(high=0)
 
     def resume_writing(self) -> None:
-        self._went_out()
+        exchange = self.exchange
+        if exchange is not None and exchange.body is not None and not exchange.body.whole:
+            exchange.body.go_on()
+        else:
+            self._went_out()
+
+    def _check_went_out(self) -> None:
+        body = self.exchange.body if self.exchange is not None else None
+        written = not self.transport.is_closing() and not self.transport.get_write_buffer_size()
+        if written and (body is None or body.whole):
+            self._went_out()
 
     def _went_out(self) -> None:
         if not self.flushed:
@@ -138,6 +163,36 @@
             if self.exchange is not None:
                 self.exchange.went_out()
 
+    # A request's body that comes in parts
+
+    def body_came(self, data: bytes) -> bool:
+        assert self.exchange is not None and self.exchange.body is not None
+        if self.transport.is_closing():
+            return True
+        chunked = self.exchange.body.length is None
+        self.transport.write(b"%x\r\n%s\r\n" % (len(data), data) if chunked else data)
+        return not self.transport.get_write_buffer_size()
+
+    def body_ended(self) -> None:
+        assert self.exchange is not None and self.exchange.body is not None
+        if self.exchange.body.length is None and not self.transport.is_closing():
+            self.transport.write(b"0\r\n\r\n")
+        self._check_went_out()
+
+    # An answer that is read no faster than the client takes it
+
+    def pause(self) -> None:
+        if not self.paused and not self.transport.is_closing():
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.paused:
+            self.paused = False
+            self.heard_at = self.target.pool.loop.time()
+            if not self.transport.is_closing():
+                self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         if self.exchange is None or self.parser is None:
             self.drop()  # nothing was asked: whatever this is, the next request must not be given it
@@ -151,11 +206,13 @@
             if not self.complete:
                 self._break()
                 return
+        if not self.complete and self._is_long():
+            self._pass_on()
         if self.complete:
             self._finish()
         elif self._too_large():
             self._break()
-        elif self.stall is None:
+        if self.exchange is not None and self.stall is None:
             self.stall = self.target.pool.loop.call_later(STALL_S, self._stalled)
 
     def eof_received(self) -> None:
@@ -188,9 +245,30 @@
     def _too_large(self) -> bool:
         """Guards against heads, 1xx answers, trailers and bodies without end, whatever they hold."""
         size, limit = self.answer.size, self._body_limit()
-        if self.target.pool.memory.too_much(size):
+        if self.target.pool.memory.too_much(self.held):
             return True
-        return size > limit or (self.answer.length or 0) > limit or self.received - size > FRAMING_LIMIT
+        framing = FRAMING_LIMIT + FRAMING_MOST * size  # a chunk may hold a single byte
+        return size > limit or (self.answer.length or 0) > limit or self.received - size > framing
+
+    def _is_long(self) -> bool:
+        """Whether more of the answer has come, or is announced, than is held."""
+        answer = self.answer
+        length = answer.length or 0
+        long = answer.size > HELD_LIMIT or HELD_LIMIT < length <= BODY_MOST
+        return self.in_body and long and not self.passing and answer.status == OK
+
+    def _pass_on(self) -> None:
+        """Let the answer go on as it comes, where its user wants that."""
+        exchange, answer = self.exchange, self.answer
+        assert exchange is not None
+        if not exchange.begins(answer):
+            return
+        self.passing = True
+        self.target.pool.memory.shrinks(self.held)
+        self.held = 0
+        parts, answer.body = answer.body, []
+        for part in parts:
+            exchange.more(part)
 
     # HttpResponseParser
 
@@ -200,7 +278,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.complete:
-            self.answer.headers.append((name, value))
+            self.answer.headers.append((name, value.rstrip()))
 
     def on_headers_complete(self) -> None:
         if self.complete or self.parser is None:
@@ -218,7 +296,12 @@
             return
         answer = self.answer
         answer.size += len(body)
+        if self.passing:
+            if self.exchange is not None:
+                self.exchange.more(body)
+            return
         answer.body.append(body)
+        self.held += len(body)
         self.target.pool.memory.grows(len(body))
 
     def on_message_complete(self) -> None:
@@ -240,10 +323,11 @@
         self.answer = Answer()
         self.received = 0
         self.in_body = self.complete = self.reusable = False
-        self.flushed = False
+        self.flushed = self.passing = False
         self.transport.writelines(exchange.payload)
-        if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
-            self._went_out()
+        if exchange.body is not None:
+            exchange.body.lead_to(self)
+        self._check_went_out()
 
     def usable(self) -> bool:
         """Whether the endpoint has neither closed this idle connection nor written to it.
@@ -264,6 +348,8 @@
 
     def drop(self) -> None:
         """Close at once; what is still in our buffer never goes out."""
+        if self.exchange is not None and self.exchange.body is not None:
+            self.exchange.body.leave(self)
         self.exchange = None
         self._let_go()
         self._end_stall()
@@ -276,7 +362,8 @@
     def _stalled(self) -> None:
         """Nothing more may have come for so long; an answer that only comes slowly goes on."""
         loop = self.target.pool.loop
-        left = STALL_S if self._unread() else self.heard_at + STALL_S - loop.time()
+        most = flow.STALL_S if self.passing else STALL_S
+        left = most if self.paused or self._unread() else self.heard_at + most - loop.time()
         if left > 0.0:  # also where this side is late, not the endpoint
             self.stall = loop.call_later(left, self._stalled)
         else:
@@ -288,14 +375,19 @@
             self.stall = None
 
     def _body_limit(self) -> int:
-        return self.exchange.body_limit if self.exchange is not None else BODY_LIMIT
+        if self.exchange is None:
+            return BODY_LIMIT
+        return self.exchange.body_limit if not self.passing else BODY_MOST
 
     def _finish(self) -> None:
         exchange, self.exchange = self.exchange, None
         assert exchange is not None
         exchange.connection = None
         exchange.over = True
+        if exchange.body is not None:
+            exchange.body.leave(self)
         self._end_stall()
+        self.resume()
         answer = self.answer
         self._let_go()
         # Before the outcome is told: the decisions that follow may close idle connections.
@@ -307,7 +399,8 @@
 
     def _let_go(self) -> None:
         """The answer is held here no longer."""
-        self.target.pool.memory.shrinks(self.answer.size)
+        self.target.pool.memory.shrinks(self.held)
+        self.held = 0
         self.answer = Answer()
 
     def _break(self) -> None:
@@ -399,6 +492,7 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
             self.prepare(sock)
             await loop.sock_connect(sock, address)
             _, connection = await loop.create_connection(lambda: self.made(address, sock), sock=sock)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -166,8 +166,8 @@
             peer.server.close()
 
 
-def run(case: Coroutine[Any, Any, None]) -> None:
-    asyncio.run(asyncio.wait_for(case, WAIT_S))
+def run(case: Coroutine[Any, Any, None], wait_s: float = WAIT_S) -> None:
+    asyncio.run(asyncio.wait_for(case, wait_s))
 
 
 async def until(condition: Callable[[], bool]) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,8 +18,8 @@
 import pytest
 
 from garnethaven.config import ConfigError, read_config
+from garnethaven.net import client, upstream
 from garnethaven.net import listener as listening
-from garnethaven.net import upstream
 from standins.platform import free_port
 from tests.loopback import (
     ANSWER,
@@ -98,7 +98,8 @@
 def test_connections_that_never_send_a_whole_request_are_ended(
     start: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(listening, "REQUEST_S", 0.1)
+    for name in ("HEAD_S", "BODY_PAUSE_S"):
+        monkeypatch.setattr(client, name, 0.1)
 
     async def case() -> None:
         async with running(says(ANSWER)) as (sidecar, _):
@@ -477,7 +478,8 @@
 
 
 def test_a_fault_at_one_connection_does_not_end_the_sweep(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(listening, "REQUEST_S", 0.1)
+    for name in ("HEAD_S", "BODY_PAUSE_S"):
+        monkeypatch.setattr(client, name, 0.1)
 
     async def case() -> None:
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
