Let two processes of one sidecar share the descriptors beyond one spare part

While a new version starts beside the old one each had half of the descriptors less a whole spare part: 128 of 384 for clients and endpoints, where 160 are there. SPARE is for both together.

--- a/garnethaven/limits/budgets.py
+++ b/garnethaven/limits/budgets.py
@@ -9,10 +9,12 @@
 keep requests from being sent on. What one side has taken it keeps until it closes it: the other side's limit
 shrinks by that, never below what is sure.
 
-Memory. An answer is held whole, so that a spoilt one can be tried again. The protocol bounds an answer, but
-larger sound ones come; many of them at once are more than a small process has. Beyond `ANSWERS_PART` of the
-memory only answers of the ordinary size are still held, and the larger ones break off as spoilt ones
-do. It would do harm where many large answers are usual: such a process needs more memory.
+Memory. An answer of the ordinary size is held whole, so that a spoilt one can be tried again; a longer one flows
+(net/flow.py). Those that can't flow, as an answer that is no 200, are held too, and many of them at once are more
+than a small process has: beyond `ANSWERS_PART` of the memory the larger ones break off as spoilt ones do.
+
+While a new version starts beside the old one, both have half of either. `SPARE` is for both together: neither
+has that many things that nobody asks for.
 """
 
 from __future__ import annotations
@@ -35,8 +37,7 @@
 
     def share(self, processes: int) -> None:
         """So many processes of one sidecar share what the platform gives."""
-        total = self.total // processes
-        self.shared = max(2 * LEAST, total - SPARE)
+        self.shared = max(2 * LEAST, (self.total - SPARE) // processes)
         self.sure = max(LEAST, int(self.shared * SURE_PART))
 
     def clients(self, endpoints_held: int) -> int:
