Bound all bodies that flow by one budget, and pass absolute targets on as path and query

Need: several long bodies at once must fit the smallest memory; requests may name their target in the absolute form, which an endpoint is owed as path and query.

A test of etcd took a member that had no watch yet: it waits for one.

--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -23,7 +23,7 @@
 from garnethaven.connections.planner import Held, Plan, Rules, Server
 from garnethaven.connections.pool import PlannedPool, PlannedTarget
 from garnethaven.limits.budgets import AnswerMemory
-from garnethaven.net.upstream import Answer, Exchange
+from garnethaven.net.exchange import Answer, Exchange
 
 SIZES = (15, 500, 5_000)
 ROUNDS = 3
--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -302,6 +302,11 @@
         """Whether anything new may go there: listed as serving, and not out by hand."""
         return server.state is State.UP and server.id not in self.banned
 
+    def takes_new(self, endpoint: int) -> bool:
+        """Whether anything new may begin there, for transports whose attempts wait."""
+        server = self.servers.get(endpoint)
+        return server is not None and self._selectable(server)
+
     def excluded(self) -> int:
         """How many listed servers get nothing new."""
         return sum(not self._selectable(server) for server in self.servers.values())
--- a/garnethaven/grpcs/transport.py
+++ b/garnethaven/grpcs/transport.py
@@ -36,7 +36,7 @@
 from garnethaven.grpcs.lines import Line, Next, choose
 from garnethaven.grpcs.mapping import Headers, reset_outcome
 from garnethaven.grpcs.streams import Sender
-from garnethaven.interface import Outcome, Send, State
+from garnethaven.interface import Outcome, Send
 
 STREAMS_MOST = 1000  # on a connection, whatever the server allows
 WINDOW = 64 * 1024
@@ -107,6 +107,11 @@
         if self.sender is not None and self.line is not None:
             self.sender.end()
             self.line.flush_stream(self.stream_id)
+            self.whole()
+
+    def whole(self) -> None:
+        """The end of the request has been handed to the connection."""
+        self.transport.engine.account.attempts += 1
 
     def taken(self, flow: int) -> None:
         """So many bytes of the answer are no longer held here."""
@@ -162,6 +167,7 @@
             attempt.sender.add(chunk)
         if ended:
             attempt.sender.end()
+            attempt.whole()
         self.flush_stream(stream_id)
 
     def flush_stream(self, stream_id: int) -> None:
@@ -381,8 +387,7 @@
 
     def may_use(self, endpoint: int, address: Address) -> bool:
         """Whether something new may still go there."""
-        server = self.engine.balancer.servers.get(endpoint)
-        return server is not None and server.state is State.UP and self.address_of(endpoint) == address
+        return self.engine.balancer.takes_new(endpoint) and self.address_of(endpoint) == address
 
     def target(self, endpoint: int) -> Target | None:
         address = self.address_of(endpoint)
--- a/garnethaven/limits/budgets.py
+++ b/garnethaven/limits/budgets.py
@@ -9,9 +9,11 @@
 keep requests from being sent on. What one side has taken it keeps until it closes it: the other side's limit
 shrinks by that, never below what is sure.
 
-Memory. An answer of the ordinary size is held whole, so that a spoilt one can be tried again; a longer one flows
-(net/flow.py). Those that can't flow, as an answer that is no 200, are held too, and many of them at once are more
-than a small process has: beyond `ANSWERS_PART` of the memory the larger ones break off as spoilt ones do.
+Memory. An answer of the ordinary size is held whole, so that a spoilt one can be tried again; a longer one
+flows (net/flow.py). Those that can't flow, as an answer that is no 200, are held too, and many of them at
+once are more than a small process has: beyond `ANSWERS_PART` of the memory the larger ones break off as
+spoilt ones do. A body or an answer that flows takes its most from the same budget; where that is used up,
+a request whose body is long is refused at once, and trying again is harmless.
 
 While a new version starts beside the old one, both have half of either. `SPARE` is for both together: neither
 has that many things that nobody asks for.
@@ -70,6 +72,10 @@
     def shrinks(self, size: int) -> None:
         self.held -= size
 
+    def full(self) -> bool:
+        """Whether nothing more may begin that holds a part of it; long bodies are refused then."""
+        return self.held > self.most
+
     def too_much(self, size: int) -> bool:
         """Whether an answer that has grown to this size may not be held any longer."""
         return self.held > self.most and size > ORDINARY_ANSWER
--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -18,8 +18,9 @@
 from garnethaven.interface import Endpoint, ListKind, Membership, Outcome, State
 from garnethaven.limits.budgets import AnswerMemory
 from garnethaven.limits.lists import DOUBLE_S, GIVE_UP_S, WAIT_MOST_S, Evidence, FreshList, Verdict
+from garnethaven.net.exchange import Answer, Exchange
 from garnethaven.net.transport import HttpTransport
-from garnethaven.net.upstream import Answer, Exchange, Pool, Target
+from garnethaven.net.upstream import Pool, Target
 from garnethaven.settings import numbered
 
 DIAL_S = 1.0
--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -13,7 +13,8 @@
 from garnethaven.engine.calls import Call
 from garnethaven.engine.engine import MS
 from garnethaven.limits.places import FIRST_S, Usage
-from garnethaven.net.flow import BODY_MOST, STALL_S, Body
+from garnethaven.net.exchange import Answer, Header
+from garnethaven.net.flow import BODY_MOST, FLOW_COST, STALL_S, Body
 from garnethaven.net.requests import (
     HEAD_LIMIT,
     HEADERS_MOST,
@@ -24,7 +25,6 @@
     wanted,
 )
 from garnethaven.net.transport import HttpAttempt, HttpRequest
-from garnethaven.net.upstream import Answer, Header
 
 if TYPE_CHECKING:
     from garnethaven.net.listener import Listener
@@ -83,6 +83,7 @@
         self.call: Call | None = None
         self.flowing: Incoming | None = None  # the request under way, while its body still comes
         self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
+        self.flow_cost = 0  # taken from the budget for bodies
         self.chunked = False
         self.old = False  # the client speaks HTTP/1.0
         self.keep_alive = True
@@ -143,6 +144,7 @@
     def connection_lost(self, problem: Exception | None) -> None:
         self.closing = True
         self.incoming = self.flowing = self.passing = None
+        self._gives_memory_back()
         self.ready.clear()
         self.parser = None  # it holds this object: a cycle that only a full collection would free
         call, self.call = self.call, None
@@ -261,6 +263,17 @@
         self.keep_alive = self.parser.should_keep_alive()
         self.flowing = incoming
         self._take(incoming)
+        if self.call is not None:
+            self._takes_memory()
+
+    def _takes_memory(self) -> None:
+        if not self.flow_cost:
+            self.flow_cost = FLOW_COST
+            self.listener.transport.pool.memory.grows(FLOW_COST)
+
+    def _gives_memory_back(self) -> None:
+        self.listener.transport.pool.memory.shrinks(self.flow_cost)
+        self.flow_cost = 0
 
     def pause_reading(self) -> None:
         if not self.transport.is_closing():
@@ -297,7 +310,7 @@
         want = wanted(incoming, self.listener.classes)
         if want is None:
             self._turn_away(400)
-        elif self.overflow:
+        elif self.overflow or (self.flowing is not None and self.listener.transport.pool.memory.full()):
             self.engine.account.at_once(want.grade, End.REFUSED)
             self._say(503)
         else:
@@ -325,6 +338,7 @@
     def began(self, attempt: HttpAttempt, answer: Answer) -> None:
         """The first part of an answer too long to be held; from here on it goes to the client as it comes."""
         self.passing = attempt
+        self._takes_memory()
         if answer.length is not None:
             framing = b"Content-Length: %d" % answer.length
         else:
@@ -411,6 +425,7 @@
 
     def _answered(self) -> None:
         self.call = self.passing = None
+        self._gives_memory_back()
         self.version_sent = self.chunked = False
         self.active_at = self.usage.since = self.listener.loop.time()
         if not self.keep_alive:
--- a/garnethaven/net/flow.py
+++ b/garnethaven/net/flow.py
@@ -14,6 +14,9 @@
 # which is what one read brings (RECEIVE_BUFFER) more, for each client connection.
 KEPT = 64 * 1024
 RECEIVE_BUFFER = 64 * 1024  # of a socket, which the kernel doubles: what one read may bring
+# What one body or answer that flows holds here at the most: what is kept, what a read brings, and as much in
+# the other side's write buffer. Taken from the one budget for bodies (limits/budgets.py) while it flows.
+FLOW_COST = KEPT + 4 * RECEIVE_BUFFER
 BODY_MOST = 40 * 1024 * 1024  # bytes of a request's or an answer's body; they come up to 32 MB
 # Without a byte of an answer that flows, or without one taken by the client, against peers that are gone.
 # They may pause for seconds.
--- a/garnethaven/net/requests.py
+++ b/garnethaven/net/requests.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from garnethaven.engine.classes import Classes, key_of
+from garnethaven.net.exchange import Header
 from garnethaven.net.flow import BODY_MOST, Body
-from garnethaven.net.upstream import Header
 
 HEAD_LIMIT = 32 * 1024
 HELD_LIMIT = 64 * 1024  # a body up to this is held whole; a longer one flows
@@ -38,6 +38,7 @@
     def head_ends(self, method: bytes, head_size: int) -> bool:
         """Judge the head; True where the client waits for a word before it sends the body."""
         self.method = method
+        self.url = origin_form(self.url)
         if head_size > HEAD_LIMIT and self.head_length() > HEAD_LIMIT:
             self.status = 431
         expects = False
@@ -62,6 +63,15 @@
         )
 
 
+def origin_form(url: bytes) -> bytes:
+    """A target as an endpoint wants it: path and query, without scheme and host of the absolute form."""
+    if url[:7].lower() != b"http://":
+        return url
+    rest = url[7:]
+    at = min((i for i in (rest.find(b"/"), rest.find(b"?")) if i >= 0), default=len(rest))
+    return rest[at:] if rest[at : at + 1] == b"/" else b"/" + rest[at:]
+
+
 @dataclass(slots=True)
 class Wanted:
     """What a request asks for, as far as the engine wants to know it, and the head that goes on."""
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -25,8 +25,9 @@
     State,
 )
 from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.net.exchange import Answer, Exchange
 from garnethaven.net.flow import Body
-from garnethaven.net.upstream import Answer, Exchange, Pool, Target
+from garnethaven.net.upstream import Pool, Target
 
 PROBE_LIMIT = S
 MakePool = Callable[[asyncio.AbstractEventLoop, Callable[[], int], float, AnswerMemory], Pool]
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -19,13 +19,9 @@
 from garnethaven.addresses import Address
 from garnethaven.limits.budgets import AnswerMemory
 from garnethaven.net import flow
-from garnethaven.net.flow import BODY_MOST, RECEIVE_BUFFER, Body
+from garnethaven.net.exchange import BODY_LIMIT, Answer, Exchange
+from garnethaven.net.flow import BODY_MOST, RECEIVE_BUFFER
 
-Header = tuple[bytes, bytes]
-
-# An answer is held whole, so that a broken one can be retried. Bodies are said to hold 64 KiB at most, but
-# sound ones of 390 KiB were seen. It would do harm to larger ones: they fail, on every server.
-BODY_LIMIT = 512 * 1024
 # All that is not body together: 1xx answers ahead, the head, chunk sizes, trailers.
 FRAMING_LIMIT = 32 * 1024
 FRAMING_MOST = 8  # times the body, for chunks of a byte each
@@ -43,76 +39,6 @@
 OK = 200
 
 
-class Answer:
-    """A response, as far as it has come."""
-
-    __slots__ = ("body", "headers", "length", "size", "status")
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.headers: list[Header] = []
-        self.body: list[bytes] = []
-        self.size = 0
-        self.length: int | None = None  # of the body, where its framing says so
-
-    def header(self, wanted: bytes) -> bytes | None:
-        for name, value in self.headers:
-            if name.lower() == wanted:
-                return value
-        return None
-
-
-class Exchange:
-    """One request to one address and what comes of it; its user overrides what it wants to know."""
-
-    body_limit = BODY_LIMIT
-
-    def __init__(self, payload: tuple[bytes | bytearray, ...]) -> None:
-        self.payload = payload
-        self.connection: Connection | None = None
-        self.dial: asyncio.Task[None] | None = None
-        self.over = False
-        self.refused = False  # no connection came up, through no shortage of this side
-        self.stale = False  # a kept connection ended under it before anything came back
-        self.careful = False  # it must not be lost: no connection in doubt is good enough
-        self.again = False  # it repeats a try that was lost, perhaps on a connection in doubt
-        self.skipped = False  # nothing was tried, through no fault of the endpoint
-        self.body: Body | None = None  # that comes behind the payload, as it comes from the client
-        self.redone = False  # it has been moved to another connection once, for it had not been written
-
-    def answered(self, answer: Answer) -> None:
-        """The whole answer has come; all of its body, or what was not passed on."""
-
-    def begins(self, answer: Answer) -> bool:
-        """Whether an answer that is too long to be held goes on as it comes, by `more`, from now on."""
-        return False
-
-    def more(self, data: bytes) -> None:
-        """More of the body of an answer that has begun."""
-
-    def broken(self, written: bool) -> None:
-        """No answer will come; `written` tells whether the last byte of the request went out."""
-
-    def went_out(self) -> None:
-        """The request's last byte is with the kernel."""
-
-    def written(self) -> bool:
-        return self.connection is not None and self.connection.flushed
-
-    def give_up(self) -> bool:
-        """Stop waiting; tells whether the request had been written and so may have run."""
-        self.over = True
-        if self.dial is not None:
-            self.dial.cancel()
-            self.dial = None
-        connection, self.connection = self.connection, None
-        if connection is None:
-            return False
-        written = connection.flushed
-        connection.drop()
-        return written
-
-
 class Connection(asyncio.Protocol):
     """One connection; carries one exchange at a time and goes back to its target's pool."""
 
--- a/tests/connections/test_pool.py
+++ b/tests/connections/test_pool.py
@@ -12,7 +12,7 @@
 from garnethaven.connections.planner import Rules, Server
 from garnethaven.connections.pool import PlannedPool, PlannedTarget
 from garnethaven.limits.budgets import AnswerMemory
-from garnethaven.net.upstream import Answer, Exchange
+from garnethaven.net.exchange import Answer, Exchange
 from tests.loopback import ANSWER, read_message, run, until
 
 REQUEST = b"POST /api HTTP/1.1\r\nHost: t\r\nContent-Length: 2\r\n\r\nhi"
--- a/tests/membership/test_etcd.py
+++ b/tests/membership/test_etcd.py
@@ -156,6 +156,7 @@
 def test_a_member_that_lags_is_left_and_brings_nothing_back() -> None:
     async def case() -> None:
         async with world(1, 2, members=2) as made:
+            await until(lambda: any(member.watches for member in made.cluster.members))
             first = next(member for member in made.cluster.members if member.watches)
             (other,) = [member for member in made.cluster.members if member is not first]
             other.fall_behind()
--- a/tests/ops/test_front.py
+++ b/tests/ops/test_front.py
@@ -7,10 +7,12 @@
 
 import pytest
 
+from garnethaven.addresses import Address
+from garnethaven.net.upstream import Connection, Target
 from garnethaven.ops.front import PLACES
 from garnethaven.ops.service import Ops
 from garnethaven.ops.shared import Shared
-from tests.loopback import ANSWER, WAIT_S, Sidecar, request, run, running, says
+from tests.loopback import ANSWER, WAIT_S, Sidecar, request, run, running, says, until
 
 
 async def opened(sidecar: Sidecar, folder: Path) -> tuple[Ops, int]:
@@ -153,3 +155,52 @@
             ops.close()
 
     run(case())
+
+
+def test_what_waits_for_a_dial_goes_elsewhere_when_its_endpoint_goes_out(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    connect = Target._connect
+
+    async def case() -> None:
+        async with running(says(ANSWER), says(ANSWER)) as (sidecar, (first, second)):
+            ops, port = await opened(sidecar, tmp_path)
+
+            async def hangs(target: Target, address: Address) -> Connection:
+                if address[1] == first.port:
+                    await asyncio.Event().wait()
+                return await connect(target, address)
+
+            monkeypatch.setattr(Target, "_connect", hangs)
+            sidecar.transport.dial_timeout = WAIT_S
+            text = request(Idempotency_Key="")  # no copy of it may go elsewhere meanwhile
+            tasks = [
+                asyncio.create_task(sidecar.ask(text.replace(b"c1", b"c%d" % n, 1))) for n in range(10, 14)
+            ]
+            await until(lambda: len(second.requests) == 2)
+            assert (await call(port, out("s0")))[0] == 200
+            assert [status for status, _ in await asyncio.gather(*tasks)] == [200] * 4
+            assert first.requests == [] and len(second.requests) == 4
+            ops.close()
+
+    run(case())
+
+
+def test_one_that_comes_back_at_another_address_stays_out(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with running(says(ANSWER), says(ANSWER), says(ANSWER)) as (sidecar, (first, second, third)):
+            ops, port = await opened(sidecar, tmp_path)
+            sidecar.tell([first.member("s0"), second.member("s1")])
+            assert (await call(port, out("s0")))[0] == 200
+            sidecar.tell([second.member("s1")])
+            assert (await call(port, out("s0")))[0] == 200  # it is on no list, and out already
+            sidecar.tell([third.member("s0"), second.member("s1")])
+            for number in range(6):
+                assert (await sidecar.ask(request(X_Call_Id=f"c{number}")))[0] == 200
+            assert first.requests == third.requests == []
+            assert (await call(port, back("s0")))[0] == 200
+            while not third.requests:
+                await sidecar.ask(request(X_Call_Id=f"b{len(second.requests)}"))
+            ops.close()
+
+    run(case())
