Spend less on a short request beside bodies that flow, and test daily service's hard cases

Change: the protocol's version is asked for only where an answer flows, a flow is begun only where there is one, the written-out check stands in line for bodies that are held. Tests: operators answered beside 10 stalled callers and 400 connections that crowd, a ban called all through a new version's start, the last of a keyed rack out by hand. Two tests of etcd took the first member that is watched before any was (StopIteration on a busy machine): they wait.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -85,7 +85,6 @@
         self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
         self.flow_cost = 0  # taken from the budget for bodies
         self.chunked = False
-        self.old = False  # the client speaks HTTP/1.0
         self.keep_alive = True
         self.half_closed = False
         self.version_sent = False
@@ -188,7 +187,8 @@
             self._reject(400)
         else:
             self._next()
-            self._begin_flow()
+            if self.incoming is not None and self.incoming.flow is not None:
+                self._begin_flow(self.incoming)
 
     def on_message_begin(self) -> None:
         self.incoming = Incoming()
@@ -211,7 +211,6 @@
         assert incoming is not None and self.parser is not None
         self.in_head = False
         self.head_at = self.body_at = self.active_at
-        self.old = self.parser.get_http_version() == "1.0"
         expects = incoming.head_ends(self.parser.get_method(), self.head_size)
         self.head_size = 0
         if expects:
@@ -254,11 +253,9 @@
 
     # A body that is too long to be held
 
-    def _begin_flow(self) -> None:
+    def _begin_flow(self, incoming: Incoming) -> None:
         """Take up a request whose body is still coming, once it is known to be long."""
-        incoming = self.incoming
-        busy = self.call is not None or self.ready or self.closing or self.penalised
-        if incoming is None or incoming.flow is None or busy or self.parser is None:
+        if self.call is not None or self.ready or self.closing or self.penalised or self.parser is None:
             return
         self.keep_alive = self.parser.should_keep_alive()
         self.flowing = incoming
@@ -342,7 +339,7 @@
         if answer.length is not None:
             framing = b"Content-Length: %d" % answer.length
         else:
-            self.chunked = not self.old
+            self.chunked = self.parser is not None and self.parser.get_http_version() != "1.0"
             framing = b"Transfer-Encoding: chunked" if self.chunked else b""
             self.keep_alive = self.keep_alive and self.chunked
         self.transport.write(self._head(200, answer.headers, framing))
@@ -425,7 +422,8 @@
 
     def _answered(self) -> None:
         self.call = self.passing = None
-        self._gives_memory_back()
+        if self.flow_cost:
+            self._gives_memory_back()
         self.version_sent = self.chunked = False
         self.active_at = self.usage.since = self.listener.loop.time()
         if not self.keep_alive:
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -132,12 +132,13 @@
             if not self.complete:
                 self._break()
                 return
-        if not self.complete and self._is_long():
-            self._pass_on()
+        if not self.complete:
+            if self._is_long():
+                self._pass_on()
+            if self._too_large():
+                self._break()
         if self.complete:
             self._finish()
-        elif self._too_large():
-            self._break()
         if self.exchange is not None and self.stall is None:
             self.stall = self.target.pool.loop.call_later(STALL_S, self._stalled)
 
@@ -253,7 +254,9 @@
         self.transport.writelines(exchange.payload)
         if exchange.body is not None:
             exchange.body.lead_to(self)
-        self._check_went_out()
+            self._check_went_out()
+        elif not self.transport.is_closing() and not self.transport.get_write_buffer_size():
+            self._went_out()
 
     def usable(self) -> bool:
         """Whether the endpoint has neither closed this idle connection nor written to it.
--- a/tests/membership/test_etcd.py
+++ b/tests/membership/test_etcd.py
@@ -18,7 +18,7 @@
 from garnethaven.membership.etcd.client import end_of
 from garnethaven.membership.payloads import PAYLOAD_MOST
 from garnethaven.membership.table import Etcd, EtcdHost, EtcdRegistration, Membership, Tls
-from standins.etcd.cluster import Cluster
+from standins.etcd.cluster import Cluster, Member
 from tests.loopback import run, until
 from tests.membership.estate import Estate, address, holds, payload
 
@@ -37,6 +37,11 @@
     def vanish(self, *numbers: int) -> None:
         self.cluster.delete(*(f"{PREFIX}n{number}" for number in numbers))
 
+    async def watched(self) -> Member:
+        """The member that is watched; the first list may be there before its watch is."""
+        await until(lambda: any(member.watches for member in self.cluster.members))
+        return next(member for member in self.cluster.members if member.watches)
+
     def settings(self, **changes: Any) -> Etcd:
         hosts = tuple(EtcdHost(("127.0.0.1", member.port)) for member in self.cluster.members)
         return replace(Etcd(hosts, PREFIX, quiet_ms=200, spread_ms=20), **changes)
@@ -156,8 +161,7 @@
 def test_a_member_that_lags_is_left_and_brings_nothing_back() -> None:
     async def case() -> None:
         async with world(1, 2, members=2) as made:
-            await until(lambda: any(member.watches for member in made.cluster.members))
-            first = next(member for member in made.cluster.members if member.watches)
+            first = await made.watched()
             (other,) = [member for member in made.cluster.members if member is not first]
             other.fall_behind()
             made.vanish(1)
@@ -279,7 +283,7 @@
 def test_a_watch_that_says_nothing_at_all_is_given_up() -> None:
     async def case() -> None:
         async with world(1, 2, members=2) as made:
-            first = next(member for member in made.cluster.members if member.watches)
+            first = await made.watched()
             first.silent = True
             made.vanish(1)
             await made.sees(2)
--- a/tests/ops/test_by_hand.py
+++ b/tests/ops/test_by_hand.py
@@ -7,13 +7,18 @@
 from garnethaven import Balancer
 from garnethaven.brain import MANY
 from garnethaven.interface import (
+    AttemptEnded,
     ByHand,
     Effect,
     Endpoint,
+    Fail,
     Grade,
     ListKind,
     Membership,
+    Outcome,
+    Refuse,
     Request,
+    Scope,
     Send,
     Settings,
     State,
@@ -70,6 +75,23 @@
     assert one.standing(0)[0] == 1.0 and one.standing(1)[0] == 1.0
 
 
+def test_the_last_of_a_rack_out_leaves_a_lost_keyed_request_no_place() -> None:
+    grade = Grade(aim=S, deadline=3 * S, effect=Effect.DEDUP, scope=Scope.CELL, window=6 * S)
+    one = Balancer(Settings(grades=(grade,), max_attempts=5, ramp_time=RAMP), seed=5)
+    one.handle(0, Membership(ListKind.FULL, (Endpoint(0, cell=0), Endpoint(1, cell=0), Endpoint(2, cell=1))))
+    one.handle(0, ByHand(2, True))
+    (first,) = sent(one, S, 1, "a")
+    other = 1 - first
+    one.handle(S, ByHand(other, True))
+    one.handle(S, ByHand(first, True))  # the attempt that is under way there goes on
+    (end,) = one.handle(2 * S, AttemptEnded("a0", 0, first, Outcome.RESET))
+    assert isinstance(end, Fail)  # it may have run, and nobody is left who would drop its repeat
+    one.handle(2 * S, ByHand(other, False))
+    one.handle(2 * S, Request("b", 0, 3 * S))
+    (again,) = one.handle(2 * S, AttemptEnded("b", 0, other, Outcome.CONNECT_FAILED))
+    assert isinstance(again, Refuse)
+
+
 def test_all_of_them_out_refuses_and_does_not_fail() -> None:
     one = balancer(2)
     for endpoint in (0, 1, 9):  # 9 is on no list
--- a/tests/ops/test_upgrade.py
+++ b/tests/ops/test_upgrade.py
@@ -188,5 +188,49 @@
     run(case(), wait_s=60.0)
 
 
+def test_a_ban_that_meets_the_new_one_at_its_start_holds_in_it(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with estate(tmp_path) as here:
+            _, old_ops = await here.start()
+            starting = asyncio.create_task(here.start())
+            while len(here.processes) < 2:
+                await asyncio.sleep(0)
+            for _ in range(20):  # all through its start
+                assert (await call(old_ops, out("s0")))[0] == 200
+                assert (await call(old_ops, back("s0")))[0] == 200
+                await asyncio.sleep(0.01)
+            assert (await call(old_ops, out("s0")))[0] == 200
+            _, new_ops = await starting
+            while excluded(await call(new_ops, asks("GET", "/_vars"))) != 1:
+                await asyncio.sleep(0.02)
+
+    run(case(), wait_s=60.0)
+
+
+def test_operators_are_answered_beside_callers_that_stall_and_clients_that_crowd(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with estate(tmp_path) as here:
+            _, ops = await here.start()
+            stalled = [await asyncio.open_connection("127.0.0.1", ops) for _ in range(10)]
+            for _, writer in stalled:
+                writer.write(b"POST /_endpoints/det")
+            crowd = []
+            for _ in range(400):  # more than it has places, saying nothing or half a request
+                with contextlib.suppress(OSError):
+                    crowd.append(await asyncio.open_connection("127.0.0.1", here.port))
+                    crowd[-1][1].write(request()[: 60 * (len(crowd) % 2)])
+            load = Load(here.port)
+            for _ in range(10):
+                assert (await call(ops, asks("GET", "/_ready")))[0] == 200
+                assert "edge_node_in_flight" in (await call(ops, asks("GET", "/_vars")))[1]
+                await asyncio.sleep(0.1)
+            await load.stop()
+            assert load.statuses[200] > 0
+            for _, writer in (*stalled, *crowd):
+                writer.close()
+
+    run(case(), wait_s=60.0)
+
+
 def excluded(answer: tuple[int, str]) -> int:
     return int(answer[1].rsplit("edge_node_endpoints_excluded ", 1)[1])
