--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from garnethaven.backlog import duplicate, emptied, listening_at, stop_arrivals, waiting
+from garnethaven.backlog import duplicate, emptied, lead_to_the_next, listening_at, stop_arrivals, waiting
 from garnethaven.engine.engine import Engine
 from garnethaven.net import listener as listening
 from tests.extproc.test_front import stage as processor_stage
@@ -182,3 +182,38 @@
 def first_frame(sock: socket.socket) -> bytes:
     with sock:
         return sock.recv(9)
+
+
+def listens(port: int = 0) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.bind(("127.0.0.1", port))
+    sock.listen(64)
+    sock.setblocking(False)
+    return sock
+
+
+def test_new_connections_go_to_whoever_listened_next_and_to_oneself_when_alone() -> None:
+    with listens() as alone:
+        port = alone.getsockname()[1]
+        assert lead_to_the_next(alone)
+        with contextlib.closing(socket.create_connection(("127.0.0.1", port), timeout=WAIT_S)):
+            assert waiting(alone) == 1
+    old = listens()
+    port = old.getsockname()[1]
+    new = listens(port)
+    with contextlib.ExitStack() as held:
+        held.enter_context(old)
+        held.enter_context(new)
+        assert lead_to_the_next(old)
+        for _ in range(40):
+            held.enter_context(socket.create_connection(("127.0.0.1", port), timeout=WAIT_S))
+        assert (waiting(old), waiting(new)) == (0, 40)
+        old.close()
+        third = held.enter_context(listens(port))  # the program stays with the group
+        held.enter_context(socket.create_connection(("127.0.0.1", port), timeout=WAIT_S))
+        assert (waiting(new), waiting(third)) == (40, 1)
+        third.close()
+        held.enter_context(socket.create_connection(("127.0.0.1", port), timeout=WAIT_S))
+        assert waiting(new) == 41
