End repeats with their window, and send nothing for a request that has its answer

A trial printed each repeat as it was written: up to 201 ms after the window's end, decided 356 to 403 ms before, while a dial came up. Ruled out: the group (there is one zone), the count of the window (from the decision, which is never later than the first try's begin).

Lines at fault: Target._dial carried the exchange without asking again; Balancer._send limited a repeat by the client's patience only; Engine._answer left attempts that wait for a connection to the module's Cancel, which `cancel = false` keeps back.

Now a keyed repeat ends with nine tenths of its window, and those before it that are still out end with it (a first try that is cut off could run for a group that has forgotten the repeat). At the end of a dial the address, the server's start, its state and the time are asked again; the connection is kept for others. What has not been sent whole is withdrawn with the final answer. gRPC and planned connections ask the same.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -81,6 +81,9 @@
 # them had ended. A server that has died refuses the next connection, and that counts.
 NO_FAULT = frozenset({Outcome.CANCELLED, Outcome.SKIPPED, Outcome.BAD_REQUEST, Outcome.STALE})
 RETRY_PART = 3  # of the time left to the aim, after which a refused client should come back
+# Of a window, in which a repeat has to arrive and end; the rest is for its way there. It would do harm to
+# repeats that come so late, and to nothing else.
+WINDOW_PART = 0.9
 GOLDEN = 0.6180339887498949  # of a span from slot to slot: whichever begin together are spread evenly
 FULL_SPREAD = 25  # sidecars whose calls to discovery need all the time that rules allow
 
@@ -904,9 +907,18 @@
             return True
         if effect is Effect.FRAGILE:  # it could take effect twice
             return False
-        return self._same_group(held.grade.scope, ran[0].server, server) and (
-            self.now < ran[0].sent_at + held.grade.window
-        )
+        return self._same_group(held.grade.scope, ran[0].server, server) and self.now < self._ends_by(held)
+
+    def _ends_by(self, held: Held) -> int:
+        """When the next attempt has to be over: with the client's patience, so that no answer is late.
+
+        A keyed request that may have run also within the window: a try that comes up late, or that is cut off
+        and gets there once the cut is over, would run for a group that has forgotten the one before.
+        """
+        ran = next((attempt for attempt in held.attempts if attempt.may_have_run), None)
+        if ran is None or held.grade.effect is not Effect.DEDUP:
+            return held.deadline
+        return min(held.deadline, ran.sent_at + int(held.grade.window * WINDOW_PART))
 
     @staticmethod
     def _same_group(scope: Scope, one: Server, other: Server) -> bool:
@@ -928,9 +940,9 @@
             self._send(held, server)
 
     def _send(self, held: Held, server: Server) -> None:
+        limit = self._ends_by(held) - self.now
         held.attempts.append(Attempt(server, self.now))
-        # The limit ends the attempt with the client's patience, so that the answer is never late.
-        self.out.append(Send(held.id, server.id, held.deadline - self.now))
+        self.out.append(Send(held.id, server.id, limit))
 
     def _come_back(self, held: Held) -> int:
         """When a refused client should try again: soon enough to be served in time, not at once.
--- a/garnethaven/connections/pool.py
+++ b/garnethaven/connections/pool.py
@@ -207,8 +207,10 @@
         while self.queue:
             exchange = self.queue.popleft()
             self.waiting.discard(exchange)
-            if not exchange.over:
+            if not exchange.over and exchange.may_begin():
                 return exchange
+            if not exchange.over:
+                self._give_back(exchange)
         return None
 
     def _take(self, now: float, careful: bool) -> PlannedConnection | None:
--- a/garnethaven/engine/calls.py
+++ b/garnethaven/engine/calls.py
@@ -40,6 +40,9 @@
     def give_up(self) -> bool:
         """Stop, and tell whether the request had been sent whole and so may have run."""
 
+    def written(self) -> bool:
+        """Whether the request has been sent whole: with less nothing of it has begun."""
+
 
 class Transport(Protocol):
     """What carries a call's attempts."""
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -284,6 +284,7 @@
         if call.coming or call.bound is not None:  # the module does not withdraw these
             self._cancel_open(call)
         self.post(ClientLeft(call.id))
+        self._withdraw(call)
 
     def _answer(self, call: Call, say: Callable[[], None], end: End) -> None:
         """The only way to a client's final answer."""
@@ -300,6 +301,15 @@
             self._forget(call)
         say()
 
+    def _withdraw(self, call: Call) -> None:
+        """End what has not been sent whole, once nobody waits: nothing may begin after the final answer.
+
+        Also where running work is not to be cancelled, which the module decides: this is none yet.
+        """
+        for attempt in call.attempts if call.answered and call.open else ():
+            if attempt is not None and not attempt.over and not attempt.written():
+                self.cancel(attempt)
+
     def _forget(self, call: Call) -> None:
         """Answered, and nothing of it is out: a timer may hold the call for a while, but not its parts."""
         self.calls.pop(call.id, None)
@@ -310,12 +320,14 @@
         if call is not None:
             say = lambda: call.client.refused(action.retry_after, action.over_share)  # noqa: E731
             self._answer(call, say, End.REFUSED)
+            self._withdraw(call)
 
     def _fail(self, action: Fail) -> None:
         call = self.calls.get(action.id)
         if call is not None:
             late = time.monotonic_ns() >= call.deadline
             self._answer(call, lambda: call.client.failed(504 if late else 502), End.FAILED)
+            self._withdraw(call)
 
     def _time_is_up(self, call: Call) -> None:
         if call.bound is not None or time.monotonic_ns() < call.deadline:
@@ -349,7 +361,9 @@
         call.attempts.append(attempt)
         call.open += 1
         if limit < left:
-            self.at(now + limit, self._time_out, attempt)
+            for one in call.attempts:  # those before it too: they could begin after this one is forgotten
+                if one is not None and not one.over:
+                    self.at(now + limit, self._time_out, one)
         attempt.start()
 
     def _may_repeat(self, call: Call) -> bool:
@@ -403,6 +417,7 @@
             call.id, attempt.number, attempt.endpoint, outcome, duration, call.answered, report
         )
         self.post(ended)
+        self._withdraw(call)
 
     # Probes and idle connections
 
--- a/garnethaven/extproc/report.py
+++ b/garnethaven/extproc/report.py
@@ -38,6 +38,9 @@
         self.over = True
         return self.delivered
 
+    def written(self) -> bool:
+        return True  # whether it is carried out is the proxy's
+
 
 class ReportTransport:
     """Makes the attempts of one stream's call."""
--- a/garnethaven/grpcs/transport.py
+++ b/garnethaven/grpcs/transport.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import ssl
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol, cast
@@ -69,6 +70,7 @@
         self.limit = limit
         self.number = len(call.attempts)
         self.sent_at = now
+        self.ends_at = now + limit
         self.over = self.refused = False
         self.sent = False  # its headers have been written to a connection
         self.line: UpLine | None = None
@@ -95,6 +97,9 @@
             line.cancel(self.stream_id)
         return self.sent
 
+    def written(self) -> bool:
+        return self.sent
+
     # From the front's stream
 
     def more(self, data: bytes) -> None:
@@ -335,6 +340,10 @@
             if not self.transport.may_use(self.endpoint, self.address):
                 self._abandon(Outcome.CONNECT_FAILED)
                 return
+            if time.monotonic_ns() >= self.waiting[0].ends_at:
+                late = self.waiting.popleft()
+                late.stream.lost(late, Outcome.SKIPPED)
+                continue
             line = self._next(0)
             if line is Next.GIVE_BACK:
                 self._abandon(Outcome.SKIPPED)
--- a/garnethaven/interface.py
+++ b/garnethaven/interface.py
@@ -246,7 +246,7 @@
 class Send:
     id: str
     endpoint: int
-    limit: int = 0  # time-out of the attempt; 0: until the client gives up
+    limit: int = 0  # time-out of the attempt, and of those still out before it; 0: until the client gives up
 
 
 @dataclass(slots=True)
--- a/garnethaven/net/exchange.py
+++ b/garnethaven/net/exchange.py
@@ -76,6 +76,10 @@
     def went_out(self) -> None:
         """The request's last byte is with the kernel."""
 
+    def may_begin(self) -> bool:
+        """Whether what was decided before a dial or a wait still holds at the moment of writing."""
+        return True
+
     def written(self) -> bool:
         return self.connection is not None and self.connection.flushed
 
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -75,6 +75,7 @@
         self.endpoint = endpoint
         self.number = len(call.attempts)
         self.sent_at = now
+        self.ends_at = now + limit
         self.again = self.number > 0
         self.careful = transport.engine.settings.grades[call.grade].effect is Effect.FRAGILE
 
@@ -90,6 +91,10 @@
         else:
             target.start(self, transport.dial_timeout)
 
+    def may_begin(self) -> bool:
+        takes_new = self.transport.engine.balancer.takes_new(self.endpoint)
+        return takes_new and time.monotonic_ns() < self.ends_at
+
     def went_out(self) -> None:
         self.transport.engine.account.attempts += 1
 
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -349,6 +349,8 @@
         self.address = address  # None: nothing may be sent there (any more)
         self.idle: deque[Connection] = deque()  # the freshest last
         self.waiting: set[Exchange] = set()
+        self.started = 0  # when its process started, as far as it is told
+        self.anew_at = 0  # when that was told
 
     def start(self, exchange: Exchange, dial_timeout: float) -> None:
         """Carry the exchange on an idle connection, or else on a new one."""
@@ -395,6 +397,7 @@
 
     async def _dial(self, exchange: Exchange, address: Address) -> None:
         connection: Connection | None = None
+        began = time.monotonic_ns()
         with contextlib.suppress(OSError, asyncio.CancelledError):
             connection = await self._connect(address)
         if connection is not None and not connection.transport.is_closing():
@@ -408,6 +411,12 @@
         elif connection is None or connection.transport.is_closing():
             exchange.over = exchange.refused = True
             exchange.broken(written=False)
+        elif address != self.address or began < self.anew_at or not exchange.may_begin():
+            # The dial took its time, and what was decided before it holds no more: the server has moved,
+            # drained or started anew, or the request's time is over.
+            self.release(connection)
+            exchange.over = exchange.skipped = True
+            exchange.broken(written=False)
         else:
             connection.carry(exchange)
 
@@ -464,6 +473,8 @@
 
     def began(self, started: int) -> None:
         """The endpoint's process started then (local nanoseconds; 0: long ago)."""
+        if started != self.started:  # by this side's clock: two clocks that differ would stop all dials
+            self.started, self.anew_at = started, time.monotonic_ns()
         if started:
             self.close_idle(opened_before=started)  # they lead to a process that is gone
 
