Close with lingering, send nothing for clients that left, and end before the kill

Cause, from reading; each case was forced over loopback and failed before (tests in tests/crossings): - client.py closed what its peek had found idle: bytes between the two made the close a reset. After `Connection: close` it closed over what reading had been paused on; the answer went with it. - eof_received asked once, 5 ms after its probe, whether a client that had ended its writing was gone; behind a paused read its end was not seen at all, and after a standstill of 0.25 s its request was sent on. A retry went out in each of these. - listener.py's planned end had fixed times: with deadlines of 0.3 s SIGKILL comes 1.0 s after SIGTERM, while reading went on for 1.4 s; a request that came 0.95 s after it had 0.9 s, the process 0.65. - broke() ended an answer without framing (to HTTP/1.0) like a whole one. - A long body read behind a short request could stay paused for good: nobody took it up.

Now all closes linger: writing ends, what comes is read and dropped, for 0.5 s; it takes no place, and beyond 16 descriptors the oldest end at once. Before a further try, and at a late dial's end, the client is asked for by the kernel's state and by a probe; the same before the first try where the loop lagged by 30 ms. The times of the end come from the longest deadline, as has every answer's.

Ruled out: giving up paused reads (a client may send long bodies ahead, tests/test_flow.py). Tests of net, flow, limits, ops, grpcs, extproc, state, membership pass.

--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -107,6 +107,7 @@
         self.watch: Callable[[], None] = lambda: None  # discovery's part, as the next
         self.contradicts: Callable[[int, Outcome], None] = lambda endpoint, outcome: None
         self.logged_at = 0
+        self.ends_at = 0  # of a planned end: by then every call has its answer; 0: none is near
         self.carriers: dict[type[Action], Callable[[Any], None]] = {
             Send: self._send,
             Refuse: self._refuse,
@@ -260,9 +261,19 @@
     def _runs_for(self, call: Call, span: int) -> None:
         """From now on the call has so many nanoseconds."""
         call.taken_at = time.monotonic_ns()
+        if self.ends_at:
+            span = max(0, min(span, self.ends_at - call.taken_at))
+            call.budget = min(call.budget, span)
         call.deadline = call.taken_at + span
         self.at(call.deadline, self._time_is_up, call)
 
+    def end_by(self, seconds: float) -> None:
+        """Owe no answer any more after so many seconds: this process ends then."""
+        self.ends_at = time.monotonic_ns() + int(seconds * S)
+        for call in self.calls.values():
+            call.deadline = min(call.deadline, self.ends_at)
+            self.at(call.deadline, self._time_is_up, call)
+
     def began(self, attempt: Attempt) -> bool:
         """An answer is about to go to the client as it comes: from here on this attempt is the client's.
 
--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 from typing import Protocol, cast
 
@@ -43,7 +44,13 @@
 # client that sends the same again at once would take the time of all others. The answer itself is not
 # held. Closing instead would have it connect anew, which costs more.
 PENALTY_S = 0.2
-LINGER_S = 0.5  # after an answer to a request that is not read to its end
+# A lingering close: this side's writing ends, what still comes is read and dropped, and the connection goes
+# with the client's own end, or after so long. Bytes that nobody reads would make the close a reset, which may
+# cost the client its last answer; nothing read after the end is sent on. It would do harm only by its
+# descriptors, so that it ends at once where places are short.
+LINGER_S = 0.5
+CLOSE_WAIT = 8  # tcpi_state, the first byte of TCP_INFO
+NO_LINGER = struct.pack("ii", 1, 0)  # a close that resets the connection
 LINGER_BYTES = 256 * 1024
 LINGER_FLOW_S = 6.0  # the same for a long body, whose client may read only once it has written all
 HALF_CLOSED_CHECK_S = 0.005  # the client is on this machine: a reset is back at once
@@ -64,6 +71,17 @@
 VERSION = b"HTTP/1.1 "
 
 
+def end_has_come(sock: socket.socket) -> bool:
+    """Whether the other side has ended its writing, also where bytes that wait to be read hide it.
+
+    False where the system does not tell.
+    """
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == CLOSE_WAIT
+    except (AttributeError, OSError, IndexError):
+        return False
+
+
 class Owner(Protocol):
     """Who keeps client connections (listener.py)."""
 
@@ -78,8 +96,11 @@
     leaving: set[ClientConnection]  # closed and about to be gone
     accepted: set[socket.socket]  # not a connection yet
     draining: bool
+    lingers_until: float  # by the loop's clock; a planned end ends what lingers
 
     def hears_first(self, now: float) -> bool: ...
+    def is_late(self) -> bool: ...
+    def lingers(self, connection: ClientConnection) -> None: ...
     def forget(self, connection: ClientConnection) -> None: ...
     def ends_with_answer(self, connection: ClientConnection) -> bool: ...
 
@@ -99,16 +120,19 @@
         self.ready: deque[Incoming] = deque()  # whole requests, in turn
         self.early = bytearray()  # came as the process woke, and waits for discovery's news
         self.unread = bytearray()  # what came while a request was under way
+        self.checked: Incoming | None = None  # whose client has ended its writing and may have gone
         self.call: Call | None = None
         self.flowing: Incoming | None = None  # the request under way, while its body still comes
         self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
         self.flow_cost = 0  # taken from the budget for bodies
         self.chunked = False
+        self.unframed = False  # the answer that is passed on is as long as the connection lasts
         self.keep_alive = True
         self.half_closed = False
         self.version_sent = False
         self.closing = False
         self.lingering = False
+        self.linger: asyncio.TimerHandle | None = None
         self.swallowed = 0
         self.penalised = False
         self.active_at = listener.loop.time()
@@ -147,7 +171,7 @@
                 self.transport.abort()
         elif self.flowing is not None:
             self._feed(data)
-        elif self.call is not None or self.ready or self.penalised:
+        elif self.call is not None or self.checked is not None or self.ready or self.penalised:
             self._keep_for_later(data)
         else:
             self._feed(data)
@@ -160,24 +184,52 @@
         """
         if self.early:
             self._read_early()
-        if self.call is None or self.closing or self.flowing is not None:
+        if (self.call is None and self.checked is None) or self.closing or self.flowing is not None:
             return False
+        self._half_closes()
+        return True
+
+    def _half_closes(self) -> None:
         self.half_closed = True
-        if not self.version_sent:
+        if not self.version_sent and not self.transport.is_closing():
             self.version_sent = True
             self.transport.write(VERSION)
             self.listener.loop.call_later(HALF_CLOSED_CHECK_S, self._check_gone)
-        return True
 
     def _check_gone(self) -> None:
-        if self.call is None or self.transport.is_closing():
-            return
-        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        if (self.call is not None or self.checked is not None) and not self.has_left():
+            incoming, self.checked = self.checked, None
+            if incoming is not None:
+                self._take(incoming)
+
+    def has_left(self) -> bool:
+        """Whether the client is known to have gone; asked before anything more is sent for it.
+
+        Its end may lie unread in the kernel, where this process stood still or does not read just now. A
+        client that has only ended its writing still reads: that shows by what is written to it.
+        """
+        if not self.half_closed and self._has_ended_writing():
+            self._half_closes()
+        if not self.transport.is_closing() and self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self.transport.abort()
+        return self.transport.is_closing()
+
+    def _has_ended_writing(self) -> bool:
+        if self.transport.is_closing():
+            return True
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK) or end_has_come(self.sock)
+        except BlockingIOError:
+            return False
+        except OSError:  # a reset
+            self.transport.abort()
+            return True
 
     def connection_lost(self, problem: Exception | None) -> None:
         self.closing = True
-        self.incoming = self.flowing = self.passing = None
+        if self.linger is not None:
+            self.linger.cancel()
+        self.incoming = self.flowing = self.passing = self.checked = None
         self._gives_memory_back()
         self.ready.clear()
         self.parser = None  # it holds this object: a cycle that only a full collection would free
@@ -222,7 +274,7 @@
             self._reject(400)
         else:
             self._next()
-            if self.incoming is not None and self.incoming.flow is not None:
+            if self.incoming is not None and self._flow_waits():
                 self._begin_flow(self.incoming)
 
     def on_message_begin(self) -> None:
@@ -325,10 +377,19 @@
 
     def _next(self) -> None:
         """Take up the next whole request, if there is one and none is under way."""
-        while self.ready and self.call is None and not self.closing and not self.penalised:
+        while self.ready and self._is_free():
             incoming = self.ready.popleft()
             self.keep_alive = incoming.keep_alive
-            self._take(incoming)
+            if self.listener.is_late() and self._has_ended_writing():
+                self.checked = incoming  # taken once it is known whether anybody waits for its answer
+                self._half_closes()
+            else:
+                self._take(incoming)
+
+    def _is_free(self) -> bool:
+        """Whether the next request may be taken up."""
+        free = self.call is None and self.checked is None
+        return free and not self.closing and not self.penalised and not self.transport.is_closing()
 
     def _take(self, incoming: Incoming) -> None:
         if incoming.status:
@@ -379,6 +440,7 @@
             self.chunked = self.parser is not None and self.parser.get_http_version() != "1.0"
             framing = b"Transfer-Encoding: chunked" if self.chunked else b""
             self.keep_alive = self.keep_alive and self.chunked
+        self.unframed = not framing
         self.transport.write(self._head(200, answer.headers, framing))
 
     def more(self, data: bytes) -> None:
@@ -394,6 +456,9 @@
     def broke(self) -> None:
         """The rest of an answer will not come: the client can tell, for no end of it is written."""
         self.call = None
+        if self.unframed:
+            # Only a reset tells a client of an answer that is as long as the connection lasts.
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         self.transport.abort()
 
     def pause_writing(self) -> None:
@@ -465,12 +530,12 @@
         self.active_at = self.usage.since = self.listener.loop.time()
         if not self.keep_alive:
             self._close_after_answer()
-        elif (self.unread or self.ready) and not self.penalised:
+        elif (self.unread or self.ready or self._flow_waits()) and not self.penalised:
             # Not at once: a client that sends ahead must not keep the others waiting.
             self.listener.loop.call_soon(self._go_on)
 
     def _go_on(self) -> None:
-        if self.call is not None or self.closing or self.penalised:
+        if not self._is_free():
             return
         if self.ready:
             self._next()
@@ -479,11 +544,16 @@
         self.transport.resume_reading()
         if data:
             self._feed(data)
+        elif self.incoming is not None and self._flow_waits():
+            self._begin_flow(self.incoming)
+
+    def _flow_waits(self) -> bool:
+        """Whether a long body has begun to come behind a request; its reading may be paused since."""
+        return self.incoming is not None and self.incoming.flow is not None
 
     def _reject(self, status: int) -> None:
         """Answer what cannot be read any further, and close."""
         self.keep_alive = False
-        self.lingering = True
         if self.flowing is not None:
             self._end_flow()
         else:
@@ -497,22 +567,28 @@
             self.engine.account.at_once(grade, End.FAILED)
 
     def _close_after_answer(self) -> None:
-        self.closing = True
-        flowing = self.flowing is not None
-        if not self.lingering and not flowing:
-            self.transport.close()
+        self._linger(LINGER_FLOW_S if self.flowing is not None else LINGER_S)
+
+    def _linger(self, most_s: float) -> None:
+        """End this side's writing, and the connection once the client has ended its own."""
+        self.closing = self.lingering = True
+        if self.transport.is_closing():
             return
-        # Unread bytes at the close would be a reset, and might cost the client its answer.
+        if self.half_closed:
+            self.transport.close()  # it has ended: nothing can come
+            return
+        self.listener.lingers(self)
         self.transport.resume_reading()
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        self.listener.loop.call_later(LINGER_FLOW_S if flowing else LINGER_S, self.transport.abort)
+        self.transport.write_eof()
+        until = min(self.listener.loop.time() + most_s, self.listener.lingers_until)
+        self.linger = self.listener.loop.call_at(until, self.transport.abort)
 
     # Looked after by the listener
 
     def waits_for_request(self) -> bool:
         """Whether nothing of a request has been seen yet."""
-        busy = self.call is not None or self.incoming is not None or self.ready or self.unread
+        taken = self.call is not None or self.checked is not None
+        busy = taken or self.incoming is not None or self.ready or self.unread
         return not busy and not self.closing
 
     def is_idle(self) -> bool:
@@ -531,10 +607,8 @@
         return not self.usage.asked and self.listener.places.may_be_asking(self.usage, now)
 
     def takes_room(self, now: float) -> bool:
-        """Whether it only takes up room: silent or slow, turned away, or answered and not read to the end."""
-        if self.closing:
-            return self.lingering and self not in self.listener.leaving
-        if self.call is not None or self.ready:
+        """Whether it only takes up room: silent or slow, or turned away."""
+        if self.closing or self.call is not None or self.checked is not None or self.ready:
             return False
         return self.penalised or (self.waits_since > 0.0 and now - self.waits_since >= FIRST_S)
 
@@ -571,10 +645,12 @@
 
     def stop_reading(self) -> None:
         """The end is near: what is not a whole request by now has not been taken."""
-        if self.call is None and not self.ready and not self.closing:
+        if self.call is None and self.checked is None and not self.ready and not self.closing:
+            self._linger(LINGER_S)
+
+    def make_room(self) -> None:
+        """End at once, where the descriptor is wanted for another."""
+        if self.call is None and self.checked is None and not self.ready and not self.closing:
             self.closing = True
             self.listener.leaving.add(self)
             self.transport.close()
-        elif self.lingering:
-            self.listener.leaving.add(self)
-            self.transport.abort()
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import errno
+import math
 import socket
 from collections.abc import Callable
 
 from garnethaven.backlog import LOOK_S, lead_to_the_next, stop_arrivals, waiting
 from garnethaven.config import Config
 from garnethaven.engine.classes import Classes
-from garnethaven.engine.engine import Engine
+from garnethaven.engine.engine import Engine, S
 from garnethaven.interface import Woke
 from garnethaven.limits.places import CALM_WAIT_S, FIRST_S, Places
 from garnethaven.net.client import HEARS_FIRST_S, ClientConnection
@@ -18,16 +19,23 @@
 from garnethaven.net.transport import HttpTransport
 
 SWEEP_S = 0.2
+LATE_S = 0.03  # a sweep that comes later tells of a loop that lags: clients may have left meanwhile
 STOOD_S = 0.4  # without a sweep: less than the grace in which a drain must be known
 ANEW_S = 1.0  # so long, and what comes then has piled up, as over a restart; less is a busy moment
 EASE_S = 0.05  # between two looks at the places for clients
 CLIENTS_PART = 3  # clients may hold this part of the descriptors for requests
 ACCEPT_AT_ONCE = 64
 OVERFLOW = 16  # connections above the limit that are taken only to say so
+LINGERS_MOST = 16  # the same for connections that linger: beyond it the oldest of them end at once
 DESCRIPTORS_SHORT_S = 0.1
 
 # A planned end. New connections come for up to 0.4 s after the signal; requests on kept ones as long
-# as these are open.
+# as these are open. The platform kills no sooner than the longest deadline of the settings, `PATIENCE_MOST_S`
+# at the most, and `KILL_S` more: where deadlines are short, what lasts longer below ends sooner.
+PATIENCE_MOST_S = 3.0
+KILL_S = 0.7
+LAST_ANSWER_S = 0.15  # before the kill: by then whatever was taken has its answer
+LINGER_LAST_S = 0.05  # before the kill: by then the last connection is closed
 DRAIN_IDLE_S = 0.45  # then idle connections are closed, while a resent request still finds the listener
 DRAIN_LISTEN_S = 0.65
 DRAIN_QUIET_S = 0.2  # the listener stays while connections come
@@ -58,12 +66,14 @@
         self.connections: set[ClientConnection] = set()
         self.never_asked = 0  # of those
         self.leaving: set[ClientConnection] = set()  # of those, closed and about to be gone
+        self.lingering: dict[ClientConnection, None] = {}  # of these, the oldest first
         self.arriving: set[asyncio.Task[object]] = set()
         self.accepted: set[socket.socket] = set()  # not a connection yet
         self.draining = False
-        self.read_until = 0.0  # of a planned end
+        self.read_until = self.last_answer_at = math.inf  # of a planned end
         self.listening = False
         self.accepted_at = 0.0
+        self.lingers_until = math.inf
         self.finished: asyncio.Future[None] = loop.create_future()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         # A restart must have the address at once, whatever the last life's connections wait for.
@@ -78,6 +88,7 @@
         self._listen()
         self.looked_after_at = 0.0
         self.swept_at = loop.time()
+        self.late_until = 0.0  # what came while the loop lagged is being read
         self.hears_first_until = 0.0  # where the process stood still: discovery's news goes before requests
         loop.call_later(EASE_S, self._sweep)
 
@@ -114,6 +125,8 @@
                 continue  # the client went away while it waited
             self.accepted_at = self.loop.time()
             self._serve(sock, overflow=count >= limit)
+            if self.lingering:
+                self._bound_lingering()
         return ACCEPT_AT_ONCE
 
     def _serve(self, sock: socket.socket, overflow: bool) -> None:
@@ -140,9 +153,22 @@
     def forget(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
         self.leaving.discard(connection)
+        self.lingering.pop(connection, None)
         self._listen()
         self._check_finished()
 
+    def lingers(self, connection: ClientConnection) -> None:
+        """A connection has ended on this side: it takes no place, but its descriptor for a while."""
+        self.leaving.add(connection)
+        self.lingering[connection] = None
+        self._bound_lingering()
+
+    def _bound_lingering(self) -> None:
+        descriptors = len(self.connections) + len(self.accepted)
+        for connection in list(self.lingering)[: max(0, descriptors - self.limit() - LINGERS_MOST)]:
+            del self.lingering[connection]
+            connection.transport.abort()
+
     def sock_closed(self) -> bool:
         return self.sock.fileno() < 0
 
@@ -157,7 +183,7 @@
         silent = [one for one in self.connections if one.takes_room(now)]
         silent.sort(key=lambda one: one.waits_since)
         for connection in silent[:wanted]:
-            connection.stop_reading()
+            connection.make_room()
         if silent:
             return min(wanted, len(silent))
 
@@ -166,7 +192,7 @@
 
         for connection in sorted(self.connections, key=worth):
             if connection.is_idle():
-                connection.stop_reading()
+                connection.make_room()
                 return 1
         return 0
 
@@ -174,6 +200,8 @@
         self.loop.call_later(EASE_S, self._sweep)
         now = self.loop.time()
         stood_s, self.swept_at = now - self.swept_at, now
+        if stood_s > EASE_S + LATE_S:
+            self.late_until = now + EASE_S
         if stood_s > STOOD_S:
             self.hears_first_until = now + HEARS_FIRST_S
         if stood_s > ANEW_S:
@@ -193,6 +221,11 @@
         """
         return now - self.swept_at > STOOD_S or now < self.hears_first_until
 
+    def is_late(self) -> bool:
+        """Whether what is read now may have come some time ago, and its client may have left since."""
+        now = self.loop.time()
+        return now < self.late_until or now - self.swept_at > EASE_S + LATE_S
+
     def set_limits(self, client_places: int = 0, calm_idle_s: float = CALM_WAIT_S) -> None:
         """Take over an operator's settings, also while connections are open; 0 places: not told."""
         self.calm_idle_s = calm_idle_s
@@ -223,9 +256,16 @@
         now = self.loop.time()
         lead_to_the_next(self.sock)
         self.accepted_at = max(self.accepted_at, now)
+        patience_s = max(grade.deadline for grade in self.engine.settings.grades) / S
+        killed_at = now + min(patience_s, PATIENCE_MOST_S) + KILL_S
+        self.lingers_until = killed_at - LINGER_LAST_S
+        self.last_answer_at = killed_at - LAST_ANSWER_S
+        self.engine.end_by(self.last_answer_at - now)
+        last_arrival = max(now + DRAIN_IDLE_S, self.last_answer_at - FIRST_S)
         self.loop.call_at(now + DRAIN_IDLE_S, self._close_idle)
-        self.loop.call_at(now + DRAIN_LISTEN_S, self._stop_listening, now + DRAIN_LISTEN_MOST_S)
-        self.read_until = now + DRAIN_READ_S
+        most = min(now + DRAIN_LISTEN_MOST_S, last_arrival)
+        self.loop.call_at(min(now + DRAIN_LISTEN_S, most), self._stop_listening, most)
+        self.read_until = min(now + DRAIN_READ_S, self.last_answer_at)
 
     def _close_idle(self) -> None:
         now = self.loop.time()
@@ -241,7 +281,7 @@
             self.loop.call_later(0.02, self._stop_listening, latest)
             return
         stop_arrivals(self.sock)
-        self.loop.call_later(LOOK_S, self._empty_backlog, now + DRAIN_BACKLOG_S)
+        self.loop.call_later(LOOK_S, self._empty_backlog, min(now + DRAIN_BACKLOG_S, self.last_answer_at))
 
     def _empty_backlog(self, latest: float) -> None:
         """Close the listener once all that has arrived is taken: what is left in the kernel is reset."""
@@ -256,7 +296,7 @@
         self._pause()
         self.sock.close()
         self._close_idle()
-        self.loop.call_at(max(self.read_until, now + FIRST_S), self._stop_reading)
+        self.loop.call_at(max(self.read_until, min(now + FIRST_S, self.last_answer_at)), self._stop_reading)
         self._check_finished()
 
     def _stop_reading(self) -> None:
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -39,6 +39,7 @@
 class Served(Protocol):
     """A client that takes an endpoint's answer."""
 
+    def has_left(self) -> bool: ...
     def served(self, answer: Answer) -> None: ...
     def began(self, attempt: HttpAttempt, answer: Answer) -> None: ...
     def more(self, data: bytes) -> None: ...
@@ -81,6 +82,9 @@
 
     def start(self) -> None:
         transport = self.transport
+        if self.again and self.client.has_left():
+            transport.engine.left(self.call)
+            return
         target = transport.targets.get(self.endpoint)
         self.skipped = self.body is not None and self.body.lost  # it can't be sent again
         if target is not None and target.would_dial():
@@ -93,7 +97,7 @@
 
     def may_begin(self) -> bool:
         takes_new = self.transport.engine.balancer.takes_new(self.endpoint)
-        return takes_new and time.monotonic_ns() < self.ends_at
+        return takes_new and time.monotonic_ns() < self.ends_at and not self.client.has_left()
 
     def went_out(self) -> None:
         self.transport.engine.account.attempts += 1
--- /dev/null
+++ b/tests/crossings/test_closes.py
@@ -0,0 +1,154 @@
+"""Bytes that come in the moment in which this side ends a connection, and answers that can't go on."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from tests.loopback import ANSWER, Sidecar, request, run, running, says, silent, until
+
+RESET = b"\x01\0\0\0\0\0\0\0"  # SO_LINGER: on, no time
+
+
+async def plain(sidecar: Sidecar) -> socket.socket:
+    """A client's socket without a transport: what it reads and when is the test's."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", sidecar.port))
+    return sock
+
+
+async def read_to_end(sock: socket.socket) -> bytes:
+    """All that comes; a reset is an error."""
+    loop, told = asyncio.get_running_loop(), bytearray()
+    while data := await loop.sock_recv(sock, 65536):
+        told += data
+    return bytes(told)
+
+
+def test_a_request_that_crosses_the_end_of_an_idle_connection_is_read_and_not_sent_on() -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, (peer,)):
+            loop, sock = asyncio.get_running_loop(), await plain(sidecar)
+            await until(lambda: len(sidecar.listener.connections) == 1)
+            (connection,) = sidecar.listener.connections
+            connection.stop_reading()
+            await loop.sock_sendall(sock, request())
+            assert await read_to_end(sock) == b""
+            await until(lambda: connection.swallowed == len(request()))
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0  # no reset
+            sock.close()
+            await until(lambda: not sidecar.listener.connections)
+            assert not peer.requests
+
+    run(case())
+
+
+def test_an_answer_is_not_lost_by_a_close_over_unread_bytes() -> None:
+    async def case() -> None:
+        go_on = asyncio.Event()
+        async with running(says(ANSWER, go_on)) as (sidecar, (peer,)):
+            loop, sock = asyncio.get_running_loop(), await plain(sidecar)
+            await loop.sock_sendall(sock, request())
+            await until(lambda: len(peer.requests) == 1)
+            ahead = asyncio.create_task(loop.sock_sendall(sock, b"x" * 500_000))  # more than is kept
+            (connection,) = sidecar.listener.connections
+            await until(lambda: len(connection.unread) > 64 * 1024)
+            sidecar.listener.draining = True  # the answer ends the connection
+            go_on.set()
+            await ahead
+            told = await read_to_end(sock)
+            assert told.endswith(b"hello") and b"Connection: close" in told
+            sidecar.listener.draining = False
+            sock.close()
+
+    run(case())
+
+
+def test_what_lingers_ends_by_itself_where_the_client_does_not() -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            sock = await plain(sidecar)
+            await until(lambda: len(sidecar.listener.connections) == 1)
+            (connection,) = sidecar.listener.connections
+            connection.stop_reading()
+            await until(lambda: not sidecar.listener.connections)
+            sock.close()
+
+    run(case())
+
+
+def test_what_lingers_makes_room_at_once() -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            resting = [await plain(sidecar) for _ in range(2)]
+            await until(lambda: len(sidecar.listener.connections) == 2)
+            for connection in list(sidecar.listener.connections):
+                connection.stop_reading()
+            sidecar.listener.limit = lambda: 2
+            assert (await sidecar.ask(request())) == (200, b"hello")
+            for sock in resting:
+                sock.close()
+
+    run(case())
+
+
+def test_a_client_can_tell_an_answer_without_framing_that_breaks_off() -> None:
+    """To HTTP/1.0 a long answer of unknown length ends with the connection: a plain end would seem whole."""
+
+    async def case() -> None:
+        async def breaks(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"x" * 200_000)
+            await writer.drain()
+            await broken.wait()
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+            raise ConnectionError
+
+        broken = asyncio.Event()
+        async with running(breaks) as (sidecar, _):
+            loop, sock = asyncio.get_running_loop(), await plain(sidecar)
+            await loop.sock_sendall(sock, request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            assert (await loop.sock_recv(sock, 64)).startswith(b"HTTP/1.1 200")
+            broken.set()
+            with pytest.raises(ConnectionResetError):
+                await read_to_end(sock)
+            sock.close()
+
+    run(case())
+
+
+def test_an_answer_without_length_that_is_reset_serves_nobody() -> None:
+    async def case() -> None:
+        async def resets(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhel")
+            await writer.drain()
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+            raise ConnectionError
+
+        async with running(resets) as (sidecar, (peer,)):
+            unkeyed = request(Idempotency_Key="")
+            assert (await sidecar.ask(unkeyed))[0] == 502
+            assert len(peer.requests) == 1
+
+    run(case())
+
+
+def test_half_a_line_on_a_resting_connection_spoils_it() -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, (peer,)):
+            sidecar.transport.pool.settle_s = 0.0
+            assert (await sidecar.ask(request())) == (200, b"hello")
+            (connection,) = sidecar.transport.pool.connections
+            peer.script = silent
+            writers = peer.writers
+            writers[0].write(b"HTTP/1.1 2")
+            await until(lambda: connection.transport.is_closing() or connection._unread())
+            peer.script = says(ANSWER)
+            assert (await sidecar.ask(request(X_Call_Id="c2"))) == (200, b"hello")
+            assert peer.connections == 2
+
+    run(case())
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -68,6 +68,7 @@
         self.connections = 0
         self.open = 0
         self.requests: list[bytes] = []
+        self.writers: list[asyncio.StreamWriter] = []  # of all connections, the oldest first
 
     async def start(self) -> Peer:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -77,6 +78,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self.open += 1
+        self.writers.append(writer)
         try:
             while True:
                 head, body = await read_message(reader)
