Have a fresh list within six seconds after any failure, and at once from an agent

Cause, from the constants: a pause after two failed calls lasted up to `askWithin` (8 s), the watch after it waited up to 20 s before it was doubled, so that a large fleet's way to a fresh list was up to 20 + 1.5 + 10 s. Where lists are pushed the settings tell no call time, and a watch waited 20 s; a broken one was opened again after 0.5 s, a drain's whole grace, though what the agent has counts.

Now the call after a failure waits 2 s at the most and the pause lasts 2 s at the most: 2.0 + 1.5 + 2.0 = 5.5 s of 6, in a fleet of any size. An agent is asked every second, and at least every 0.4 s while it is silent. A call is given up only after what has come meanwhile was read.

Ruled out: shorter watches for all fleets, for discovery can't answer them.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -85,6 +85,10 @@
 # repeats that come so late, and to nothing else.
 WINDOW_PART = 0.9
 GOLDEN = 0.6180339887498949  # of a span from slot to slot: whichever begin together are spread evenly
+# After a call to discovery that failed. With the calls before and after it (limits/lists.py) it has to end
+# before news counts as told, 6 s after discovery can be reached again. It would do harm where turning callers
+# away costs discovery much.
+FAILED_PAUSE_MOST = 2_000_000_000
 FULL_SPREAD = 25  # sidecars whose calls to discovery need all the time that rules allow
 
 SECOND = 1_000_000_000
@@ -214,7 +218,8 @@
             # Backed off, or calls that failed for load would return as load.
             self.failed_calls = min(self.failed_calls + 1, 2)
             span = self._spread(self.settings.ask_within * self.failed_calls // 2)
-            self._watch_within(max(span, self.failed_calls * SECOND), self.rng.random())
+            span = max(span, self.failed_calls * SECOND // 2)
+            self._watch_within(min(span, FAILED_PAUSE_MOST), self.rng.random())
             return
         if event.kind is not ListKind.PERSISTED:
             self.failed_calls = 0
--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -18,7 +18,7 @@
 from garnethaven.engine.spending import Spend
 from garnethaven.interface import Endpoint, ListKind, Membership, Outcome, State
 from garnethaven.limits.budgets import AnswerMemory
-from garnethaven.limits.lists import DOUBLE_S, GIVE_UP_S, WAIT_MOST_S, Evidence, FreshList, Verdict
+from garnethaven.limits.lists import WAIT_MOST_S, Evidence, FreshList, Verdict
 from garnethaven.net.exchange import Answer, Exchange
 from garnethaven.net.transport import HttpTransport
 from garnethaven.net.upstream import Pool, Target
@@ -26,7 +26,9 @@
 
 DIAL_S = 1.0
 CALLS_MOST = 3  # connections to discovery: the watch's, the one out of turn, and one that is being closed
-RETRY_S = 0.5  # a pushed list's agent is on this machine, and costs nothing
+RETRY_S = 0.5
+AGENT_RETRY_S = 0.1  # a pushed list's agent is on this machine, costs nothing, and what it has counts as told
+HEARS_S = 0.02  # an answer that came while this process stood still is read before its call is given up
 BREATH_S = 0.1  # between calls that are answered at once; a watch goes on if the next comes in 0.2 s
 LIST_LIMIT = 2 * 1024 * 1024
 EVIDENCE = {
@@ -63,6 +65,7 @@
         self.discovery = discovery
         self.watches = watches
         self.began_at = discovery.loop.time()
+        self.wait_s = 0.0  # that it may wait for news
 
     def answered(self, answer: Answer) -> None:
         self.discovery.told(self, answer)
@@ -95,11 +98,17 @@
         self.address = config.discovery
         self.target = Target(self.pool, self.address)
         self.fresh = FreshList(
-            config.settings.fleet_size, config.settings.ask_within / S, config.seed, WAIT_MOST_S
+            config.settings.fleet_size,
+            config.settings.ask_within / S,
+            config.seed,
+            WAIT_MOST_S,
+            self.pushed,
         )
+        self.retry_s = AGENT_RETRY_S if self.pushed else RETRY_S
         self.call: ListCall | None = None  # the watch
         self.extra: ListCall | None = None  # the call out of turn
         self.moved = False  # to an address that has not told its list yet
+        self.doubted = False  # the last watch failed: the next one may be as silent
         self.whole = False  # the next call is for the whole list: what was told last lay behind
         self.retry: asyncio.TimerHandle | None = None
         self.told_empty = False  # the list has no entry, and changes are all that the watch would tell
@@ -178,19 +187,20 @@
         if self.retry is not None:
             self.retry.cancel()
         whole = self.moved or self.whole
-        wait = 0.0 if whole else self.fresh.wait_s
+        wait = 0.0 if whole else self.fresh.doubt_wait_s if self.doubted else self.fresh.wait_s
         query = b"" if whole else b"?after=%d&wait_ms=%d" % (self.fresh.revision, int(wait * 1000))
         self.call = call = self._start(query, watches=True)
+        call.wait_s = wait
         if not whole:
-            self.loop.call_later(wait + DOUBLE_S, self._double, call)
-        self.loop.call_later(wait + GIVE_UP_S, self._time_out, call)
+            self.loop.call_later(wait + self.fresh.double_s, self._double, call)
+        self.loop.call_later(wait + self.fresh.give_up_s, self._time_out, call)
 
     def _ask_out_of_turn(self) -> None:
         """Ask for the whole list beside the watch; where none is out, the next watch asks soon enough."""
         if self.extra is None and not self.moved:
             self.extra_calls += 1
             self.extra = call = self._start(b"", watches=False)
-            self.loop.call_later(GIVE_UP_S, self._time_out, call)
+            self.loop.call_later(self.fresh.give_up_s, self._time_out, call)
 
     def _start(self, query: bytes, watches: bool) -> ListCall:
         host = b"%s:%d" % (self.address[0].encode(), self.address[1])
@@ -208,6 +218,10 @@
             self._ask_out_of_turn()
 
     def _time_out(self, call: ListCall) -> None:
+        if not call.over:
+            self.loop.call_later(HEARS_S, self._give_up, call)
+
+    def _give_up(self, call: ListCall) -> None:
         if not call.over:
             call.give_up()
             self.ended(call)
@@ -242,9 +256,9 @@
             self.engine.log(f"discovery: revision {revision} is behind {self.fresh.revision}, passed over")
             if call.watches:  # a watch of what lies behind would be answered alike at once
                 self.whole = True
-                self.retry = self.loop.call_later(RETRY_S, self._ask)
+                self.retry = self.loop.call_later(self.retry_s, self._ask)
             return
-        self.moved = self.whole = False
+        self.moved = self.whole = self.doubted = False
         # The next call goes out first: taking in a long list must not end the watch.
         if call.watches:
             early = not entries and now - call.began_at < BREATH_S
@@ -263,7 +277,7 @@
     def _renew(self, now: float) -> None:
         """A call out of turn was answered: an overdue watch is as good as dead, begin another."""
         call = self.call
-        if call is not None and now - call.began_at > self.fresh.wait_s + DOUBLE_S:
+        if call is not None and now - call.began_at > call.wait_s + self.fresh.double_s:
             call.give_up()
             self.call = None
             self._ask()
@@ -276,10 +290,11 @@
 
     def failed(self) -> None:
         self.call = None
+        self.doubted = True
         if self.pushed or self.moved:
             # After a move nothing is watched until the new address has told its list, and the module
             # would wait for longer than the news may.
-            self.retry = self.loop.call_later(RETRY_S, self._ask)
+            self.retry = self.loop.call_later(self.retry_s, self._ask)
         else:
             self.engine.post(Membership(ListKind.FAILED))
 
