Name settings that contradict themselves, and end the start with code 2

Need: an unknown effect ended the start without the field's name, negative figures and no class at all were taken (and a planned end with no class was a traceback), and limits too small to run in were found out by running.

--- a/garnethaven/config.py
+++ b/garnethaven/config.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from garnethaven.addresses import Address, parse_address
 from garnethaven.interface import Settings
+from garnethaven.limits.budgets import LEAST, SPARE
 from garnethaven.settings import Names, SettingsError, read_names, read_settings
 
+MEMORY_LEAST_MB = 20  # the program has 14 MB when nothing is asked of it
+
 
 class ConfigError(Exception):
     """The configuration is missing, unreadable or not as the deployment page says."""
@@ -54,13 +58,15 @@
         settings, names = read_settings(facts), read_names(facts)
     except SettingsError as problem:
         raise ConfigError(str(problem)) from None
+    if not settings.grades:
+        raise ConfigError("setting 'grades' names no class")
     return Config(
         name=_field(told, "name", str),
         listen=_address(told, "listen"),
         discovery=_address(told, "discovery"),
         seed=_seed(told),
-        memory_mb=_limit(limits, "memory_mb"),
-        sockets=_limit(limits, "sockets"),
+        memory_mb=_limit(limits, "memory_mb", MEMORY_LEAST_MB),
+        sockets=_limit(limits, "sockets", SPARE + 2 * LEAST),
         known=_field(told, "known", dict),
         settings=settings,
         names=names,
@@ -88,8 +94,10 @@
         raise ConfigError(f"'seed' is not a hexadecimal number: {told['seed']!r}") from None
 
 
-def _limit(limits: dict[str, Any], name: str) -> int:
+def _limit(limits: dict[str, Any], name: str, least: int) -> int:
     value = limits.get(name)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 1:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 1 <= value < math.inf:
         raise ConfigError(f"'limits.{name}' is not a positive number: {value!r}")
+    if value < least:
+        raise ConfigError(f"'limits.{name}' is too little to run in, which takes {least}: {value!r}")
     return int(value)
--- a/garnethaven/settings.py
+++ b/garnethaven/settings.py
@@ -4,7 +4,8 @@
 
 import math
 from dataclasses import dataclass
-from typing import Any
+from enum import Enum
+from typing import Any, TypeVar
 
 from garnethaven.interface import Effect, Grade, Scope, Settings, Tenant
 
@@ -23,15 +24,40 @@
     kinds: tuple[str, ...]
 
 
-def _number(table: dict[str, Any], name: str, kind: type[int] | type[float], *default: float) -> Any:
+Word = TypeVar("Word", bound=Enum)
+
+
+def _number(
+    table: dict[str, Any],
+    name: str,
+    kind: type[int] | type[float],
+    *default: float,
+    least: float = 0.0,
+    most: float = math.inf,
+) -> Any:
     """One figure of a table; what can't be read is named, what is missing without a default a KeyError."""
     told = table.get(name, *default) if default else table[name]
     try:
-        if not math.isfinite(float(told)):
+        if isinstance(told, bool) or not math.isfinite(float(told)):
             raise ValueError
-        return kind(told)
-    except (ValueError, TypeError):
+        value = kind(told)
+    except (ValueError, TypeError, OverflowError):
         raise SettingsError(f"setting {name!r} cannot be read: {told!r}") from None
+    if not least <= value <= most:
+        bound = f"under {least:g}" if value < least else f"over {most:g}"
+        raise SettingsError(f"setting {name!r} is {bound}: {told!r}")
+    return value
+
+
+def _word(told: Any, name: str, kind: type[Word]) -> Word:
+    """One of a setting's words."""
+    try:
+        return kind(told)
+    except ValueError:
+        known = ", ".join(str(word.value) for word in kind)
+        raise SettingsError(
+            f"the settings cannot be read: {name!r} is {told!r}, not one of {known}"
+        ) from None
 
 
 def read_settings(facts: dict[str, Any]) -> Settings:
@@ -45,18 +71,18 @@
                 for tenant in facts.get("tenants", ())
             ),
             slot=_number(facts, "slotNo", int),
-            fleet_size=_number(facts, "fleetSize", int),
+            fleet_size=_number(facts, "fleetSize", int, least=1),
             zone=_number(facts, "zone", int),
             ask_discovery=facts["membershipMode"] == "ask",
             ask_within=_number(rules, "askWithinNs", int, 0),
             drain_grace=_number(rules, "drainGraceNs", int),
-            cold_share=_number(rules, "coldShare", float),
+            cold_share=_number(rules, "coldShare", float, most=1.0),
             ramp_time=_number(rules, "rampTimeNs", int),
             fall_multiple=_number(rules, "fallMultiple", float, 3.0),
             dial_timeout=_number(limits, "dialTimeoutNs", int, 0),
             conn_idle=_number(limits, "connIdleNs", int, 0),
-            streams_per_conn=_number(limits, "streamsPerConn", int, 1),
-            max_attempts=_number(limits, "maxAttempts", int),
+            streams_per_conn=_number(limits, "streamsPerConn", int, 1, least=1),
+            max_attempts=_number(limits, "maxAttempts", int, least=1),
             second_copies=bool(limits.get("secondCopies", False)),
             cancel=bool(limits.get("cancel", False)),
             probes=bool(limits.get("probes", False)),
@@ -79,8 +105,8 @@
     return Grade(
         aim=_number(grade, "aimNs", int),
         deadline=_number(grade, "deadlineNs", int),
-        effect=Effect(grade["effect"]),
-        scope=Scope(grade.get("keyScope") or "all"),
+        effect=_word(grade["effect"], "effect", Effect),
+        scope=_word(grade.get("keyScope") or "all", "keyScope", Scope),
         window=_number(grade, "dedupWindowNs", int, 0),
         worth=_number(grade, "importance", float),
         late_value=_number(grade, "lateValue", float, 0.0),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+from garnethaven.__main__ import main
 from garnethaven.settings import SettingsError, read_settings
+from tests.loopback import config_file
+from tests.loopback import facts as facts_of_a_sidecar
 
 
 def told(**rules: Any) -> dict[str, Any]:
@@ -39,3 +43,67 @@
     del facts["rules"]["coldShare"]
     with pytest.raises(SettingsError, match="'coldShare' is missing"):
         read_settings(facts)
+
+
+GRADE = {"aimNs": 10, "deadlineNs": 20, "effect": "dedup", "keyScope": "cell", "importance": 1.0}
+
+
+@pytest.mark.parametrize(
+    ("place", "name", "value"),
+    [
+        ("grade", "effect", "sometimes"),
+        ("grade", "effect", None),
+        ("grade", "keyScope", "planet"),
+        ("grade", "deadlineNs", -1),
+        ("grade", "aimNs", True),
+        ("grade", "dedupWindowNs", -5),
+        ("rules", "coldShare", 1.5),
+        ("rules", "coldShare", -0.1),
+        ("rules", "rampTimeNs", -1),
+        ("limits", "maxAttempts", 0),
+        ("limits", "dialTimeoutNs", -1),
+        ("limits", "connIdleNs", "soon"),
+        ("facts", "fleetSize", 0),
+    ],
+)
+def test_what_contradicts_itself_is_named(place: str, name: str, value: Any) -> None:
+    facts = told()
+    facts["grades"] = [dict(GRADE)]
+    table = {"grade": facts["grades"][0], "rules": facts["rules"], "limits": facts["limits"], "facts": facts}
+    table[place][name] = value
+    with pytest.raises(SettingsError, match=f"'{name}'"):
+        read_settings(facts)
+
+
+def test_a_class_without_a_window_is_honoured() -> None:
+    facts = told()
+    facts["grades"] = [dict(GRADE)]
+    assert read_settings(facts).grades[0].window == 0  # nothing that may have run is repeated
+
+
+@pytest.mark.parametrize(
+    ("changes", "said"),
+    [
+        ({"limits": {"memory_mb": 4, "sockets": 256}}, "limits.memory_mb"),
+        ({"limits": {"memory_mb": 64, "sockets": 40}}, "limits.sockets"),
+        ({"limits": {"memory_mb": float("inf"), "sockets": 256}}, "limits.memory_mb"),
+        ({"limits": {"memory_mb": 64, "sockets": float("nan")}}, "limits.sockets"),
+        ({"settings": facts_of_a_sidecar() | {"grades": []}}, "'grades'"),
+        ({"settings": []}, "'settings'"),
+        ({"settings": facts_of_a_sidecar() | {"rules": None}}, "settings"),
+        ({"known": None}, "'known'"),
+        ({"seed": "xyz"}, "'seed'"),
+    ],
+)
+def test_a_start_that_can_not_be_ends_with_code_2_and_the_name(
+    changes: dict[str, Any],
+    said: str,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = config_file(tmp_path / "c.json", **changes)
+    monkeypatch.setenv("NODE_CONFIG", str(path))
+    assert main([]) == 2
+    told_at_the_end = capsys.readouterr().err
+    assert said in told_at_the_end and "Traceback" not in told_at_the_end
