Put heads of answers and what the kernel knows of a client in files of their own

Moved only: net/answers.py holds the head, net/presence.py the looks at a socket, which net/upstream.py had once more. Tests of crossings, net and flow pass.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import struct
 from collections import deque
 from typing import Protocol, cast
 
@@ -15,16 +14,11 @@
 from garnethaven.engine.classes import Classes
 from garnethaven.engine.engine import MS, Engine
 from garnethaven.limits.places import FIRST_S, Places, Usage
+from garnethaven.net.answers import VERSION, answer_head
 from garnethaven.net.exchange import Answer, Header
 from garnethaven.net.flow import BODY_MOST, FLOW_COST, HELD_LIMIT, LAST_CHUNK, STALL_S, Body, chunk
-from garnethaven.net.requests import (
-    HEAD_LIMIT,
-    HEADERS_MOST,
-    NOT_PASSED_ON,
-    Incoming,
-    Wanted,
-    wanted,
-)
+from garnethaven.net.presence import has_ended_writing, has_unread, is_reset, reset_at_close
+from garnethaven.net.requests import HEAD_LIMIT, HEADERS_MOST, Incoming, Wanted, wanted
 from garnethaven.net.transport import HttpAttempt, HttpRequest, HttpTransport
 
 HEARS_FIRST_S = 0.02  # seconds: some rounds of the loop
@@ -49,37 +43,9 @@
 # cost the client its last answer; nothing read after the end is sent on. It would do harm only by its
 # descriptors, so that it ends at once where places are short.
 LINGER_S = 0.5
-CLOSE_WAIT = 8  # tcpi_state, the first byte of TCP_INFO
-NO_LINGER = struct.pack("ii", 1, 0)  # a close that resets the connection
 LINGER_BYTES = 256 * 1024
 LINGER_FLOW_S = 6.0  # the same for a long body, whose client may read only once it has written all
 HALF_CLOSED_CHECK_S = 0.005  # the client is on this machine: a reset is back at once
-PHRASES = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    501: b"Not Implemented",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-VERSION = b"HTTP/1.1 "
-
-
-def end_has_come(sock: socket.socket) -> bool:
-    """Whether the other side has ended its writing, also where bytes that wait to be read hide it.
-
-    False where the system does not tell.
-    """
-    try:
-        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == CLOSE_WAIT
-    except (AttributeError, OSError, IndexError):
-        return False
 
 
 class Owner(Protocol):
@@ -172,7 +138,9 @@
         elif self.flowing is not None:
             self._feed(data)
         elif self.call is not None or self.checked is not None or self.ready or self.penalised:
-            self._keep_for_later(data)
+            self.unread += data
+            if len(self.unread) > PIPELINED_LIMIT:
+                self.transport.pause_reading()
         else:
             self._feed(data)
 
@@ -210,7 +178,7 @@
         """
         if not self.half_closed and self._has_ended_writing():
             self._half_closes()
-        if not self.transport.is_closing() and self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        if not self.transport.is_closing() and is_reset(self.sock):
             self.transport.abort()
         return self.transport.is_closing()
 
@@ -218,9 +186,7 @@
         if self.transport.is_closing():
             return True
         try:
-            return not self.sock.recv(1, socket.MSG_PEEK) or end_has_come(self.sock)
-        except BlockingIOError:
-            return False
+            return has_ended_writing(self.sock)
         except OSError:  # a reset
             self.transport.abort()
             return True
@@ -243,11 +209,6 @@
 
     # Reading
 
-    def _keep_for_later(self, data: bytes) -> None:
-        self.unread += data
-        if len(self.unread) > PIPELINED_LIMIT:
-            self.transport.pause_reading()
-
     def _feed(self, data: bytes) -> None:
         if self.parser is None:
             return
@@ -458,7 +419,7 @@
         self.call = None
         if self.unframed:
             # Only a reset tells a client of an answer that is as long as the connection lasts.
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            reset_at_close(self.sock)
         self.transport.abort()
 
     def pause_writing(self) -> None:
@@ -511,16 +472,8 @@
         elif self.keep_alive and not self.ready and not self.unread:
             self.usage.since = self.listener.loop.time()
             self.keep_alive = not self.listener.ends_with_answer(self)
-        parts = [b"" if self.version_sent else VERSION, b"%d " % status, PHRASES[status], b"\r\n"]
-        for name, value in headers:
-            if name.lower() not in NOT_PASSED_ON:
-                parts += (name, b": ", value, b"\r\n")
-        if not self.keep_alive:
-            parts.append(b"Connection: close\r\n")
-        if framing:
-            parts += (framing, b"\r\n")
-        parts.append(b"\r\n")
-        return b"".join(parts)
+        rest = answer_head(status, headers, framing, self.keep_alive)
+        return rest if self.version_sent else VERSION + rest
 
     def _answered(self) -> None:
         self.call = self.passing = None
@@ -529,7 +482,7 @@
         self.version_sent = self.chunked = False
         self.active_at = self.usage.since = self.listener.loop.time()
         if not self.keep_alive:
-            self._close_after_answer()
+            self._linger(LINGER_FLOW_S if self.flowing is not None else LINGER_S)
         elif (self.unread or self.ready or self._flow_waits()) and not self.penalised:
             # Not at once: a client that sends ahead must not keep the others waiting.
             self.listener.loop.call_soon(self._go_on)
@@ -566,9 +519,6 @@
         if grade is not None:
             self.engine.account.at_once(grade, End.FAILED)
 
-    def _close_after_answer(self) -> None:
-        self._linger(LINGER_FLOW_S if self.flowing is not None else LINGER_S)
-
     def _linger(self, most_s: float) -> None:
         """End this side's writing, and the connection once the client has ended its own."""
         self.closing = self.lingering = True
@@ -594,13 +544,7 @@
     def is_idle(self) -> bool:
         if not self.waits_for_request():
             return False
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return not self.transport.get_write_buffer_size()
-        except OSError:
-            pass
-        return False
+        return not has_unread(self.sock) and not self.transport.get_write_buffer_size()
 
     def is_new(self, now: float) -> bool:
         """Whether its first request may be on its way."""
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -21,6 +21,7 @@
 from garnethaven.net import flow
 from garnethaven.net.exchange import BODY_LIMIT, Answer, Exchange
 from garnethaven.net.flow import BODY_MOST, HELD_LIMIT, LAST_CHUNK, RECEIVE_BUFFER, chunk
+from garnethaven.net.presence import has_unread
 
 # All that is not body together: 1xx answers ahead, the head, chunk sizes, trailers.
 FRAMING_LIMIT = 32 * 1024
@@ -265,14 +266,7 @@
         return not self.transport.is_closing() and not self._unread()
 
     def _unread(self) -> bool:
-        """Whether something waits in the kernel: bytes, an end or an error."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            pass
-        return True
+        return has_unread(self.sock)
 
     def drop(self) -> None:
         """Close at once; what is still in our buffer never goes out."""
