Let no close cut off an answer that its client still takes, and put the owner in its file

Cause, found in reading the change again: the time for lingering, 0.5 s, ran from the writing of the last byte to this side's buffer, not from its leaving; a client that read a long answer slowly lost the rest when the answer ended the connection. Before lingering closes the transport's close waited for its buffer. Now the time is counted anew while the buffer holds something; a client that takes nothing for 8 s is ended as before, and a planned end goes before all. The test of it fails without the change.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -5,21 +5,21 @@
 import asyncio
 import socket
 from collections import deque
-from typing import Protocol, cast
+from typing import cast
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from garnethaven.engine.account import End
 from garnethaven.engine.calls import Call
-from garnethaven.engine.classes import Classes
-from garnethaven.engine.engine import MS, Engine
-from garnethaven.limits.places import FIRST_S, Places, Usage
+from garnethaven.engine.engine import MS
+from garnethaven.limits.places import FIRST_S, Usage
 from garnethaven.net.answers import VERSION, answer_head
 from garnethaven.net.exchange import Answer, Header
 from garnethaven.net.flow import BODY_MOST, FLOW_COST, HELD_LIMIT, LAST_CHUNK, STALL_S, Body, chunk
+from garnethaven.net.owner import Owner
 from garnethaven.net.presence import has_ended_writing, has_unread, is_reset, reset_at_close
 from garnethaven.net.requests import HEAD_LIMIT, HEADERS_MOST, Incoming, Wanted, wanted
-from garnethaven.net.transport import HttpAttempt, HttpRequest, HttpTransport
+from garnethaven.net.transport import HttpAttempt, HttpRequest
 
 HEARS_FIRST_S = 0.02  # seconds: some rounds of the loop
 PIPELINED_LIMIT = 64 * 1024
@@ -48,29 +48,6 @@
 HALF_CLOSED_CHECK_S = 0.005  # the client is on this machine: a reset is back at once
 
 
-class Owner(Protocol):
-    """Who keeps client connections (listener.py)."""
-
-    engine: Engine
-    transport: HttpTransport
-    classes: Classes
-    loop: asyncio.AbstractEventLoop
-    places: Places
-    calm_idle_s: float
-    never_asked: int
-    connections: set[ClientConnection]
-    leaving: set[ClientConnection]  # closed and about to be gone
-    accepted: set[socket.socket]  # not a connection yet
-    draining: bool
-    lingers_until: float  # by the loop's clock; a planned end ends what lingers
-
-    def hears_first(self, now: float) -> bool: ...
-    def is_late(self) -> bool: ...
-    def lingers(self, connection: ClientConnection) -> None: ...
-    def forget(self, connection: ClientConnection) -> None: ...
-    def ends_with_answer(self, connection: ClientConnection) -> bool: ...
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection of the application: one request at a time, answered in turn."""
 
@@ -530,8 +507,18 @@
         self.listener.lingers(self)
         self.transport.resume_reading()
         self.transport.write_eof()
+        self._linger_for(most_s)
+
+    def _linger_for(self, most_s: float) -> None:
         until = min(self.listener.loop.time() + most_s, self.listener.lingers_until)
-        self.linger = self.listener.loop.call_at(until, self.transport.abort)
+        self.linger = self.listener.loop.call_at(until, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Close, unless the client still takes its answer; one that stops is ended by `look_after`."""
+        if self.transport.get_write_buffer_size() and self.listener.loop.time() < self.listener.lingers_until:
+            self._linger_for(LINGER_S)
+        else:
+            self.transport.abort()
 
     # Looked after by the listener
 
--- a/tests/crossings/test_closes.py
+++ b/tests/crossings/test_closes.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from garnethaven.net import client
 from tests.loopback import ANSWER, Sidecar, request, run, running, says, silent, until
 
 RESET = b"\x01\0\0\0\0\0\0\0"  # SO_LINGER: on, no time
@@ -95,6 +96,33 @@
     run(case())
 
 
+def test_an_answer_that_is_taken_slowly_is_not_cut_off_by_the_time_for_lingering() -> None:
+    async def case() -> None:
+        body = bytes(range(256)) * 8_000
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        async with running(says(answer)) as (sidecar, _):
+            sidecar.listener.draining = True  # the answer ends the connection
+            loop, sock = asyncio.get_running_loop(), socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, ("127.0.0.1", sidecar.port))
+            await until(lambda: len(sidecar.listener.connections) == 1)
+            (connection,) = sidecar.listener.connections
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            await loop.sock_sendall(sock, request())
+            told = bytearray()
+            while not connection.lingering:
+                told += await loop.sock_recv(sock, 4096)
+            assert connection.transport.get_write_buffer_size()
+            await asyncio.sleep(client.LINGER_S * 1.5)
+            told += await read_to_end(sock)
+            assert told.endswith(body)
+            sidecar.listener.draining = False
+            sock.close()
+
+    run(case())
+
+
 def test_a_client_can_tell_an_answer_without_framing_that_breaks_off() -> None:
     """To HTTP/1.0 a long answer of unknown length ends with the connection: a plain end would seem whole."""
 
