--- a/tests/connections/test_pool.py
+++ b/tests/connections/test_pool.py
@@ -347,3 +347,29 @@
             await until(lambda: len(made.pool.active) <= 1 or not any(t.idle for t in made.pool.active))
 
     run(case())
+
+
+def test_what_holds_no_more_when_its_dial_ends_is_not_written(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A dial that comes up late finds its request's time over: the connection serves the next."""
+
+    async def case() -> None:
+        async with stage() as one:
+            may_end = asyncio.Event()
+            connect = PlannedTarget._connect
+
+            async def held(target: PlannedTarget, address: tuple[str, int]) -> Any:
+                connection = await connect(target, address)
+                await may_end.wait()
+                return connection
+
+            monkeypatch.setattr(PlannedTarget, "_connect", held)
+            late = one.begin()
+            late.may_begin = lambda: False  # type: ignore[method-assign]
+            await until(lambda: one.far.opened == 1)
+            may_end.set()
+            await late.done.wait()
+            assert late.lost is False and late.skipped and one.far.requests == 0
+            await one.settled()
+            assert (await one.ask()).status == 200 and one.far.opened == 1
+
+    run(case())
