Tell in one place whether a client's connection has a request, and drop a flag nothing read

From reading the whole change again; behaviour is the same. Whether a request is under way or waits stood five times with small variations in net/client.py; `lingering` was told by the listener's own table as well. Tests made plain sockets and resets of their own where tests/loopback.py and net/presence.py now serve both; their assertions are as they were.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -74,7 +74,6 @@
         self.half_closed = False
         self.version_sent = False
         self.closing = False
-        self.lingering = False
         self.linger: asyncio.TimerHandle | None = None
         self.swallowed = 0
         self.penalised = False
@@ -114,7 +113,7 @@
                 self.transport.abort()
         elif self.flowing is not None:
             self._feed(data)
-        elif self.call is not None or self.checked is not None or self.ready or self.penalised:
+        elif self._has_request() or self.penalised:
             self.unread += data
             if len(self.unread) > PIPELINED_LIMIT:
                 self.transport.pause_reading()
@@ -498,7 +497,7 @@
 
     def _linger(self, most_s: float) -> None:
         """End this side's writing, and the connection once the client has ended its own."""
-        self.closing = self.lingering = True
+        self.closing = True
         if self.transport.is_closing():
             return
         if self.half_closed:
@@ -524,10 +523,13 @@
 
     def waits_for_request(self) -> bool:
         """Whether nothing of a request has been seen yet."""
-        taken = self.call is not None or self.checked is not None
-        busy = taken or self.incoming is not None or self.ready or self.unread
+        busy = self._has_request() or self.incoming is not None or self.unread
         return not busy and not self.closing
 
+    def _has_request(self) -> bool:
+        """Whether a whole request is under way or waits for its turn."""
+        return self.call is not None or self.checked is not None or bool(self.ready)
+
     def is_idle(self) -> bool:
         if not self.waits_for_request():
             return False
@@ -539,7 +541,7 @@
 
     def takes_room(self, now: float) -> bool:
         """Whether it only takes up room: silent or slow, or turned away."""
-        if self.closing or self.call is not None or self.checked is not None or self.ready:
+        if self.closing or self._has_request():
             return False
         return self.penalised or (self.waits_since > 0.0 and now - self.waits_since >= FIRST_S)
 
@@ -576,12 +578,12 @@
 
     def stop_reading(self) -> None:
         """The end is near: what is not a whole request by now has not been taken."""
-        if self.call is None and self.checked is None and not self.ready and not self.closing:
+        if not self.closing and not self._has_request():
             self._linger(LINGER_S)
 
     def make_room(self) -> None:
         """End at once, where the descriptor is wanted for another."""
-        if self.call is None and self.checked is None and not self.ready and not self.closing:
+        if not self.closing and not self._has_request():
             self.closing = True
             self.listener.leaving.add(self)
             self.transport.close()
--- a/tests/crossings/test_closes.py
+++ b/tests/crossings/test_closes.py
@@ -8,17 +8,8 @@
 import pytest
 
 from garnethaven.net import client
-from tests.loopback import ANSWER, Sidecar, request, run, running, says, silent, until
-
-RESET = b"\x01\0\0\0\0\0\0\0"  # SO_LINGER: on, no time
-
-
-async def plain(sidecar: Sidecar) -> socket.socket:
-    """A client's socket without a transport: what it reads and when is the test's."""
-    sock = socket.socket()
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", sidecar.port))
-    return sock
+from garnethaven.net.presence import reset_at_close
+from tests.loopback import ANSWER, request, run, running, says, silent, until
 
 
 async def read_to_end(sock: socket.socket) -> bytes:
@@ -32,7 +23,7 @@
 def test_a_request_that_crosses_the_end_of_an_idle_connection_is_read_and_not_sent_on() -> None:
     async def case() -> None:
         async with running(says(ANSWER)) as (sidecar, (peer,)):
-            loop, sock = asyncio.get_running_loop(), await plain(sidecar)
+            loop, sock = asyncio.get_running_loop(), await sidecar.plain()
             await until(lambda: len(sidecar.listener.connections) == 1)
             (connection,) = sidecar.listener.connections
             connection.stop_reading()
@@ -51,7 +42,7 @@
     async def case() -> None:
         go_on = asyncio.Event()
         async with running(says(ANSWER, go_on)) as (sidecar, (peer,)):
-            loop, sock = asyncio.get_running_loop(), await plain(sidecar)
+            loop, sock = asyncio.get_running_loop(), await sidecar.plain()
             await loop.sock_sendall(sock, request())
             await until(lambda: len(peer.requests) == 1)
             ahead = asyncio.create_task(loop.sock_sendall(sock, b"x" * 500_000))  # more than is kept
@@ -71,7 +62,7 @@
 def test_what_lingers_ends_by_itself_where_the_client_does_not() -> None:
     async def case() -> None:
         async with running(says(ANSWER)) as (sidecar, _):
-            sock = await plain(sidecar)
+            sock = await sidecar.plain()
             await until(lambda: len(sidecar.listener.connections) == 1)
             (connection,) = sidecar.listener.connections
             connection.stop_reading()
@@ -84,7 +75,7 @@
 def test_what_lingers_makes_room_at_once() -> None:
     async def case() -> None:
         async with running(says(ANSWER)) as (sidecar, _):
-            resting = [await plain(sidecar) for _ in range(2)]
+            resting = [await sidecar.plain() for _ in range(2)]
             await until(lambda: len(sidecar.listener.connections) == 2)
             for connection in list(sidecar.listener.connections):
                 connection.stop_reading()
@@ -111,7 +102,7 @@
             connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             await loop.sock_sendall(sock, request())
             told = bytearray()
-            while not connection.lingering:
+            while connection not in sidecar.listener.lingering:
                 told += await loop.sock_recv(sock, 4096)
             assert connection.transport.get_write_buffer_size()
             await asyncio.sleep(client.LINGER_S * 1.5)
@@ -131,13 +122,13 @@
             writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"x" * 200_000)
             await writer.drain()
             await broken.wait()
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            reset_at_close(writer.get_extra_info("socket"))
             writer.transport.abort()
             raise ConnectionError
 
         broken = asyncio.Event()
         async with running(breaks) as (sidecar, _):
-            loop, sock = asyncio.get_running_loop(), await plain(sidecar)
+            loop, sock = asyncio.get_running_loop(), await sidecar.plain()
             await loop.sock_sendall(sock, request().replace(b"HTTP/1.1", b"HTTP/1.0"))
             assert (await loop.sock_recv(sock, 64)).startswith(b"HTTP/1.1 200")
             broken.set()
@@ -153,7 +144,7 @@
         async def resets(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhel")
             await writer.drain()
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            reset_at_close(writer.get_extra_info("socket"))
             writer.transport.abort()
             raise ConnectionError
 
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -8,10 +8,9 @@
 
 import pytest
 
+from garnethaven.net.presence import reset_at_close
 from tests.loopback import ANSWER, Peer, Script, read_message, request, run, running, says, until
 
-RESET = b"\x01\0\0\0\0\0\0\0"  # SO_LINGER: on, no time
-
 
 def breaks(go_on: asyncio.Event) -> Script:
     """An endpoint that resets a request once it may."""
@@ -61,9 +60,7 @@
     async def case() -> None:
         go_on = asyncio.Event()
         async with running(breaks(go_on), breaks(go_on)) as (sidecar, peers):
-            loop, sock = asyncio.get_running_loop(), socket.socket()
-            sock.setblocking(False)
-            await loop.sock_connect(sock, ("127.0.0.1", sidecar.port))
+            loop, sock = asyncio.get_running_loop(), await sidecar.plain()
             await loop.sock_sendall(sock, request())
             await until(lambda: sent(peers) == 1)
             (connection,) = sidecar.listener.connections
@@ -72,7 +69,7 @@
                 await asyncio.sleep(0)
             await loop.sock_sendall(sock, b"x" * 16_384)
             if reset:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                reset_at_close(sock)
             sock.close()
             await asyncio.sleep(0.02)
             go_on.set()
@@ -86,9 +83,7 @@
     async def case() -> None:
         go_on = asyncio.Event()
         async with running(breaks(go_on), breaks(go_on)) as (sidecar, peers):
-            loop, sock = asyncio.get_running_loop(), socket.socket()
-            sock.setblocking(False)
-            await loop.sock_connect(sock, ("127.0.0.1", sidecar.port))
+            loop, sock = asyncio.get_running_loop(), await sidecar.plain()
             await loop.sock_sendall(sock, request())
             await until(lambda: sent(peers) == 1)
             (connection,) = sidecar.listener.connections
@@ -96,7 +91,7 @@
             await until(lambda: connection.half_closed)
             assert await loop.sock_recv(sock, 100) == b"HTTP/1.1 "
             await asyncio.sleep(0.05)  # it was asked, and was there
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            reset_at_close(sock)
             sock.close()
             await asyncio.sleep(0.02)
             go_on.set()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -141,6 +142,13 @@
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection("127.0.0.1", self.port)
 
+    async def plain(self) -> socket.socket:
+        """A client's socket without a transport: what it reads and when is the test's."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.port))
+        return sock
+
     async def ask(self, text: bytes) -> tuple[int, bytes]:
         """A request on a connection of its own; its status and body."""
         reader, writer = await self.connect()
