Move the connection to an endpoint out of upstream.py into a module of its own

Three modules of tests import the names from where they stand now; the stall's time is replaced there by its new module. Splitting the reading of an answer off Connection as well was ruled out here: the planned connections override its parts.

--- a/garnethaven/connections/pool.py
+++ b/garnethaven/connections/pool.py
@@ -23,8 +23,9 @@
 from garnethaven.connections.idle_limits import IdleLimits
 from garnethaven.connections.planner import Held, Plan, Rules, Server, Way
 from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.net.connection import Connection
 from garnethaven.net.exchange import Exchange
-from garnethaven.net.upstream import Connection, Pool, Target
+from garnethaven.net.upstream import Pool, Target
 
 LOOK_S = 0.1  # between two looks at what to open and to close
 LOOKS_MOST = 256  # targets at one look; the rest wait for the next
--- a/tests/crossings/test_late_dials.py
+++ b/tests/crossings/test_late_dials.py
@@ -14,7 +14,8 @@
 from garnethaven.addresses import Address
 from garnethaven.engine.engine import MS, S
 from garnethaven.interface import Effect, Scope
-from garnethaven.net.upstream import Connection, Target
+from garnethaven.net.connection import Connection
+from garnethaven.net.upstream import Target
 from tests.loopback import ANSWER, Peer, Sidecar, read_message, request, run, running, says, until
 
 
--- a/tests/ops/test_front.py
+++ b/tests/ops/test_front.py
@@ -8,7 +8,8 @@
 import pytest
 
 from garnethaven.addresses import Address
-from garnethaven.net.upstream import Connection, Target
+from garnethaven.net.connection import Connection
+from garnethaven.net.upstream import Target
 from garnethaven.ops.front import PLACES
 from garnethaven.ops.service import Ops
 from garnethaven.ops.shared import Shared
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,7 +18,8 @@
 import pytest
 
 from garnethaven.config import ConfigError, read_config
-from garnethaven.net import client, upstream
+from garnethaven.net import client
+from garnethaven.net import connection as server_connection
 from garnethaven.net import listener as listening
 from standins.ports import PORTS
 from tests.loopback import (
@@ -234,7 +235,7 @@
 
 
 def test_an_answer_that_comes_slowly_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream, "STALL_S", 0.5)
+    monkeypatch.setattr(server_connection, "STALL_S", 0.5)
 
     async def case() -> None:
         async def slowly(head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
