Let a second answer that comes late meet no request: a learned rest before reuse

An endpoint may write a second answer some milliseconds behind a good one. A connection rested 2 ms and then carried the next request; what came from then on was taken for that request's answer.

net/reuse.py, pure, now decides which idle connection is reused: - the freshest that has rested for 0.15 of the usual answer's time (5 ms at least), else the most rested one: a choice among what is open, which opens nothing; - while an allowance lasts (2, and 3 for 100 opened), a new connection in place of one that has rested for less than 1 % of the idle time of the settings; never at a cold endpoint or a full pool; - once unasked bytes were seen, no connection under that preferred rest, or under twice the latest arrival seen, is reused; forgotten after 10 minutes. One memory for the pool, three figures. Bytes that are read before any byte of the request is acknowledged were written before the endpoint had it: the attempt is a reset that may have run, and its connection is closed.

The very first late ones of a process can still meet a request in dense traffic.

--- a/garnethaven/connections/pool.py
+++ b/garnethaven/connections/pool.py
@@ -216,7 +216,7 @@
 
     def _take(self, now: float, careful: bool) -> PlannedConnection | None:
         """The freshest idle connection that will do; what is past its time goes."""
-        settled = now - self.pool.settle_s
+        settled = now - self.pool.reuse.required_rest_s(now)
         kept: list[Connection] = []
         found: PlannedConnection | None = None
         while self.idle and found is None:
@@ -227,7 +227,7 @@
                 kept.append(connection)
             elif not connection.usable():
                 self.plan.ended(now, idle_s)
-                connection.drop()
+                connection.drop_unusable()
             elif self.plan.will_do(now, idle_s, connection.part, careful):
                 found = connection
             elif self.plan.will_do(now, idle_s, connection.part, careful=False):
@@ -314,7 +314,7 @@
         self.idle.append(connection)
         self.pool.look_at(self)
         if self.queue:
-            self.pool.loop.call_later(self.pool.settle_s * 1.1, self._serve_queue)
+            self.pool.loop.call_later(self.pool.reuse.required_rest_s(now) * 1.1, self._serve_queue)
 
     def _serve_queue(self) -> None:
         """A connection that came free has settled."""
--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -18,7 +18,7 @@
 from garnethaven.net import flow
 from garnethaven.net.exchange import BODY_LIMIT, Answer, Exchange
 from garnethaven.net.flow import BODY_MOST, HELD_LIMIT, LAST_CHUNK, chunk
-from garnethaven.net.presence import has_unread
+from garnethaven.net.presence import has_unread, has_unread_bytes, unacknowledged_bytes
 
 if TYPE_CHECKING:
     from garnethaven.net.upstream import Target
@@ -48,14 +48,18 @@
         self.parser: HttpResponseParser | None = HttpResponseParser(self)
         self.flushed = True  # the last byte of the request has left our buffer
         self.received = 0
+        self.request_size = 0  # of what has been written of the request
         self.in_body = False
         self.complete = False
+        self.extra = False  # more has come than the answer
         self.reusable = False
         self.stall: asyncio.TimerHandle | None = None
         self.heard_at = 0.0
         self.opened_at = time.monotonic_ns()
         self.idle_since = 0.0
         self.idle_for = 0.0  # before the exchange that it carries
+        self.asked_at = 0.0
+        self.answered_at = 0.0  # the end of the latest whole answer
 
     # asyncio.Protocol
 
@@ -90,15 +94,19 @@
         if self.transport.is_closing():
             return True
         chunked = self.exchange.body.length is None
-        self.transport.write(chunk(data) if chunked else data)
+        self._write_more(chunk(data) if chunked else data)
         return not self.transport.get_write_buffer_size()
 
     def body_ended(self) -> None:
         assert self.exchange is not None and self.exchange.body is not None
         if self.exchange.body.length is None and not self.transport.is_closing():
-            self.transport.write(LAST_CHUNK)
+            self._write_more(LAST_CHUNK)
         self._check_went_out()
 
+    def _write_more(self, data: bytes) -> None:
+        self.request_size += len(data)
+        self.transport.write(data)
+
     # An answer that is read no faster than the client takes it
 
     def pause(self) -> None:
@@ -115,10 +123,16 @@
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None or self.parser is None:
+            self.note_unasked()
             self.drop()  # nothing was asked: whatever this is, the next request must not be given it
             return
+        unasked = not self.received and self._came_unasked()
         self.received += len(data)
         self.heard_at = self.target.pool.loop.time()
+        if unasked:
+            self.note_unasked()
+            self._break()
+            return
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
@@ -126,6 +140,7 @@
             if not self.complete:
                 self._break()
                 return
+            self.extra = True
         if not self.complete:
             if self._is_long():
                 self._pass_on()
@@ -196,6 +211,7 @@
     def on_message_begin(self) -> None:
         if self.complete:
             self.reusable = False  # an answer to no request follows the one that was due
+            self.extra = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.complete:
@@ -240,11 +256,13 @@
         """Write the request of `exchange`; its answer or its end is told to it."""
         self.exchange = exchange
         exchange.connection = self
-        self.idle_for = self.target.pool.loop.time() - self.idle_since if self.idle_since else 0.0
+        self.asked_at = self.target.pool.loop.time()
+        self.idle_for = self.asked_at - self.idle_since if self.idle_since else 0.0
         self.answer = Answer()
         self.received = 0
-        self.in_body = self.complete = self.reusable = False
+        self.in_body = self.complete = self.extra = self.reusable = False
         self.flushed = self.passing = False
+        self.request_size = sum(map(len, exchange.payload))
         self.transport.writelines(exchange.payload)
         if exchange.body is not None:
             exchange.body.lead_to(self)
@@ -262,6 +280,33 @@
     def _unread(self) -> bool:
         return has_unread(self.sock)
 
+    # Bytes that belong to no request
+
+    def note_unasked(self) -> None:
+        """Let the pool know that this endpoint has written what nobody asked for, just now."""
+        if self.answered_at:
+            now = self.target.pool.loop.time()
+            self.target.pool.reuse.unasked(now, now - self.answered_at)
+
+    def _came_unasked(self) -> bool:
+        """Whether the first bytes after a request were written before the endpoint had any of it.
+
+        An answer acknowledges the request, or what of it has come. A new connection is not asked: an
+        endpoint may turn it away at once.
+        """
+        if not self.answered_at:
+            return False
+        unacknowledged = unacknowledged_bytes(self.sock)
+        if unacknowledged is None:
+            return False
+        return unacknowledged + self.transport.get_write_buffer_size() >= self.request_size
+
+    def drop_unusable(self) -> None:
+        """Close what was idle and can't be reused."""
+        if has_unread_bytes(self.sock):
+            self.note_unasked()
+        self.drop()
+
     def drop(self) -> None:
         """Close at once; what is still in our buffer never goes out."""
         if self.exchange is not None and self.exchange.body is not None:
@@ -306,6 +351,7 @@
         self.resume()
         answer = self.answer
         self._let_go()
+        self._note_answered()
         # Before the outcome is told: the decisions that follow may close idle connections.
         if self.reusable and self.flushed and not self.transport.is_closing():
             self.target.release(self)
@@ -313,6 +359,12 @@
             self.drop()
         exchange.answered(answer)
 
+    def _note_answered(self) -> None:
+        self.answered_at = self.target.pool.loop.time()
+        self.target.pool.reuse.answered(self.answered_at - self.asked_at)
+        if self.extra:
+            self.note_unasked()
+
     def _let_go(self) -> None:
         """The answer is held here no longer."""
         self.target.pool.memory.shrinks(self.held)
--- a/garnethaven/net/exchange.py
+++ b/garnethaven/net/exchange.py
@@ -80,6 +80,10 @@
         """Whether what was decided before a dial or a wait still holds at the moment of writing."""
         return True
 
+    def may_open_spare(self) -> bool:
+        """Whether a new connection may be opened for it in place of one that has rested for a short time."""
+        return False
+
     def written(self) -> bool:
         return self.connection is not None and self.connection.flushed
 
--- a/garnethaven/net/presence.py
+++ b/garnethaven/net/presence.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import struct
+import termios
 
 CLOSE_WAIT = 8  # tcpi_state, the first byte of TCP_INFO
 NO_LINGER = struct.pack("ii", 1, 0)
+COUNT = struct.Struct("i")
 
 
 def has_unread(sock: socket.socket) -> bool:
@@ -20,6 +23,24 @@
     return True
 
 
+def has_unread_bytes(sock: socket.socket) -> bool:
+    """Whether bytes wait to be read, not only an end or an error."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int | None:
+    """Written bytes that the other side's system has not acknowledged; None where this one doesn't tell."""
+    try:
+        told = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(COUNT.size))
+    except (OSError, ValueError):
+        return None
+    (count,) = COUNT.unpack(told)
+    return int(count)
+
+
 def has_ended_writing(sock: socket.socket) -> bool:
     """Whether the other side has ended its writing, also where nobody has read that; OSError at a reset."""
     try:
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -99,6 +99,9 @@
         takes_new = self.transport.engine.balancer.takes_new(self.endpoint)
         return takes_new and time.monotonic_ns() < self.ends_at and not self.client.has_left()
 
+    def may_open_spare(self) -> bool:
+        return self.transport.is_warm(self.endpoint)
+
     def went_out(self) -> None:
         self.transport.engine.account.attempts += 1
 
@@ -179,10 +182,13 @@
     def may_dial(self, endpoint: int) -> bool:
         """Whether a connection may be opened there now: dials to one that has just started are bounded."""
         spending = self.engine.spending
-        if spending is None or self.engine.balancer.standing(endpoint)[0] >= 1.0:
+        if spending is None or self.is_warm(endpoint):
             return True
         return spending.may_spend(Spend.COLD_DIAL, endpoint)
 
+    def is_warm(self, endpoint: int) -> bool:
+        return self.engine.balancer.standing(endpoint)[0] >= 1.0
+
     # Load reports
 
     def report(self, answer: Answer) -> tuple[float, ...]:
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -14,13 +14,10 @@
 from garnethaven.net.connection import Connection
 from garnethaven.net.exchange import Exchange
 from garnethaven.net.flow import RECEIVE_BUFFER
+from garnethaven.net.reuse import ReusePolicy
 
 SWEEPS = 20  # the idle pool is looked through this many times in an idle time
 KEEP_SHARE = 0.85  # of the idle time: a request must not cross the endpoint's own closing
-# A connection is used again this long after its last answer: what an endpoint writes behind a good
-# answer may come a moment after it, and the next request would be given it. A burst opens a connection
-# more instead.
-SETTLE_S = 0.002
 
 
 class Target:
@@ -36,7 +33,7 @@
 
     def start(self, exchange: Exchange, dial_timeout: float) -> None:
         """Carry the exchange on an idle connection, or else on a new one."""
-        connection = self._take_idle()
+        connection = self._take_idle(exchange)
         if connection is not None:
             connection.carry(exchange)
             return
@@ -46,6 +43,7 @@
             return
         self.waiting.add(exchange)
         self.pool.dials.add(exchange)
+        self.pool.reuse.opened()
         dial = self.pool.loop.create_task(self._dial(exchange, self.address))
         timer = self.pool.loop.call_later(dial_timeout, dial.cancel)
         exchange.dial = dial
@@ -59,23 +57,25 @@
 
     def would_dial(self) -> bool:
         """Whether an exchange that starts now most likely needs a new connection."""
-        return not self.idle
-
-    def _take_idle(self) -> Connection | None:
-        """The freshest idle connection that is still good and has settled."""
-        settled, expired = self.pool.loop.time() - self.pool.settle_s, self.pool.expired()
-        fresh: list[Connection] = []
-        found: Connection | None = None
-        while self.idle and found is None:
-            connection = self.idle.pop()
-            if connection.idle_since > settled:
-                fresh.append(connection)
-            elif connection.idle_since > expired and connection.usable():
-                found = connection
-            else:
-                connection.drop()
-        self.idle.extend(reversed(fresh))
-        return found
+        if not self.idle:
+            return True
+        now = self.pool.loop.time()
+        return now - self.idle[0].idle_since < self.pool.reuse.required_rest_s(now)
+
+    def _take_idle(self, exchange: Exchange) -> Connection | None:
+        """The idle connection to reuse for it, if one is still good and has rested."""
+        now, expired = self.pool.loop.time(), self.pool.expired()
+
+        def may_open() -> bool:
+            return self.pool.held() < self.pool.limit() and exchange.may_open_spare()
+
+        while (index := self.pool.reuse.pick(now, self.idle, may_open)) is not None:
+            connection = self.idle[index]
+            del self.idle[index]
+            if connection.idle_since > expired and connection.usable():
+                return connection
+            connection.drop_unusable()
+        return None
 
     async def _dial(self, exchange: Exchange, address: Address) -> None:
         connection: Connection | None = None
@@ -189,10 +189,19 @@
         self.connections: set[Connection] = set()
         self.dials: set[object] = set()  # each may become a connection
         self.idle_s = idle_s
-        self.settle_s = SETTLE_S
+        self.reuse = ReusePolicy(idle_s)
         self.targets: Callable[[], Iterable[Target]] = tuple
         self.sweeping = False
 
+    @property
+    def settle_s(self) -> float:
+        """The shortest rest before a connection is reused; 0: all are reused at once."""
+        return self.reuse.min_rest_s
+
+    @settle_s.setter
+    def settle_s(self, seconds: float) -> None:
+        self.reuse.min_rest_s = seconds
+
     def target(self, endpoint: int, address: Address | None) -> Target:
         """What leads to one endpoint."""
         return Target(self, address)
--- a/tests/connections/test_pool.py
+++ b/tests/connections/test_pool.py
@@ -139,6 +139,24 @@
     run(case())
 
 
+def test_a_connection_rests_for_as_long_as_was_learned_from_second_answers() -> None:
+    async def case() -> None:
+        async with stage() as made:
+            assert (await made.ask()).status == 200
+            await made.settled()
+            reuse = made.pool.reuse
+            reuse.full_rest_s = 20.0
+            reuse.unasked(made.pool.loop.time(), 10.0)
+            assert (await made.ask()).status == 200
+            assert made.far.opened == 2
+            await made.settled()
+            reuse.unasked_at = None
+            assert (await made.ask()).status == 200
+            assert made.far.opened == 2
+
+    run(case())
+
+
 def test_fifty_requests_at_an_empty_pool_open_few_and_keep_nobody_waiting() -> None:
     async def case() -> None:
         async with stage(opens_per_s=20.0, accepts=370) as made:
