Read discovery's list in a module of its own, list_reader.py

Need: discovery.py held two jobs, when calls are made and how a list's JSON is read; bad input is to be mended in the second while the first is being changed. Moved as it was: ListReader.read_list and its entries, number_of, name_of, STATES and ListError; LIST_LIMIT is MAX_LIST_BYTES, and the answer is an EndpointList where a tuple was. Behaviour is the same.

--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -7,17 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections.abc import Callable
 from random import Random
 from typing import Any
 
-from garnethaven.addresses import Address, parse_address
+from garnethaven.addresses import Address
 from garnethaven.config import Config
-from garnethaven.engine.engine import MS, Engine, S
+from garnethaven.engine.engine import Engine, S
 from garnethaven.engine.spending import Spend
-from garnethaven.interface import Endpoint, ListKind, Membership, Outcome, State
+from garnethaven.interface import ListKind, Membership, Outcome
 from garnethaven.limits.budgets import AnswerMemory
 from garnethaven.limits.lists import FULL_FLEET, WAIT_MOST_S, Evidence, FreshList, Verdict
 from garnethaven.membership.call_schedule import (
@@ -28,6 +27,7 @@
     CallSchedule,
     CallTiming,
 )
+from garnethaven.membership.list_reader import MAX_LIST_BYTES, Entries, ListError, ListReader
 from garnethaven.net.exchange import Answer, Exchange
 from garnethaven.net.transport import HttpTransport
 from garnethaven.net.upstream import Pool, Target
@@ -40,35 +40,17 @@
 # Many instances may start together: their first calls are drawn from this span in a fleet of `FULL_FLEET`.
 FIRST_CALL_SPAN_S = 0.5
 HEARS_S = 0.02  # an answer that came while this process stood still is read before its call is given up
-LIST_LIMIT = 2 * 1024 * 1024
 EVIDENCE = {
     Outcome.CONNECT_FAILED: Evidence.REFUSED_DIAL,
     Outcome.RESET: Evidence.RESET,
     Outcome.BUSY: Evidence.TURNED_AWAY,
 }
-STATES = {"SERVING": State.UP, "DRAINING": State.DRAINING, "DELETED": State.REMOVED}
-
-Entries = list[tuple[Endpoint, Address | None]]
-
-
-def number_of(endpoint: str) -> int:
-    """The module's number of an endpoint's id, the same at every sidecar."""
-    return int.from_bytes(endpoint.encode(), "big")
-
-
-def name_of(number: int) -> str:
-    """The id of an endpoint, which the module knows by `number_of` it."""
-    return number.to_bytes((number.bit_length() + 7) // 8, "big").decode(errors="surrogateescape")
-
-
-class ListError(Exception):
-    """Discovery's answer is not a list."""
 
 
 class ListCall(Exchange):
     """One call to discovery; the schedule knows it by its number."""
 
-    body_limit = LIST_LIMIT
+    body_limit = MAX_LIST_BYTES
 
     def __init__(self, discovery: Discovery, payload: bytes, number: int) -> None:
         super().__init__((payload,))
@@ -97,10 +79,11 @@
         self.transport = transport
         self.loop = loop
         self.pushed = not config.settings.ask_discovery
-        self.zones = numbered(config.names.zones)
-        self.kinds = numbered(config.names.kinds)
         # One difference for the whole life: an endpoint whose start seemed to move would seem restarted.
         self.clock_offset = time.time_ns() - time.monotonic_ns()
+        self.reader = ListReader(
+            numbered(config.names.zones), numbered(config.names.kinds), self.clock_offset
+        )
         self.pool = Pool(
             loop, limit=lambda: MAX_CONNECTIONS, idle_s=0.0, memory=AnswerMemory(config.memory_mb)
         )
@@ -132,8 +115,8 @@
     def start(self, known: dict[str, Any]) -> None:
         """Give the module the list of an earlier life, and have it confirmed."""
         try:
-            revision, _, entries = self.read_list(known)
-            self.fresh.revision = revision
+            listed = self.reader.read_list(known)
+            self.fresh.revision, entries = listed.revision, listed.entries
         except ListError as problem:
             self.engine.log(f"the known list cannot be read: {problem}")
             entries = []
@@ -258,11 +241,12 @@
         try:
             if answer.status != 200:
                 raise ListError(f"status {answer.status}")
-            revision, complete, entries = self.read_list(b"".join(answer.body))
+            listed = self.reader.read_list(b"".join(answer.body))
         except ListError as problem:
             self.engine.log(f"discovery: {problem}")
             self._failed(self.schedule.failed(now, call.number))
             return
+        revision, complete, entries = listed.revision, listed.complete, listed.entries
         verdict = self.fresh.judge(now, revision, complete, len(entries))
         self.told_empty = not entries and (verdict is Verdict.TAKE_AND_ASK or self.told_empty)
         if verdict is Verdict.PASS_OVER:
@@ -277,37 +261,3 @@
             self.owes_news = False
             self.learn(ListKind.FULL if complete else ListKind.DELTA, entries)
         self._ask_again()
-
-    # Reading a list
-
-    def read_list(self, told: bytes | dict[str, Any]) -> tuple[int, bool, Entries]:
-        try:
-            facts = json.loads(told) if isinstance(told, bytes) else told
-            revision, members = facts["revision"], facts["members"]
-            if isinstance(revision, bool) or not isinstance(revision, int) or not isinstance(members, list):
-                raise ListError("no revision or no members")
-            entries = [entry for entry in map(self._read_entry, members) if entry is not None]
-            return revision, bool(facts.get("complete", False)), entries
-        except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as problem:
-            raise ListError(f"cannot be read: {problem!r}") from None
-
-    def _read_entry(self, member: Any) -> tuple[Endpoint, Address | None] | None:
-        """One endpoint; what cannot be read of it is no licence to send, and harms no other."""
-        if not isinstance(member, dict) or not isinstance(member.get("id"), str):
-            return None
-        address = parse_address(member.get("host_port"))
-        state = STATES.get(str(member.get("phase")), State.DRAINING)
-        cell, size, up_since = member.get("cell", 0), member.get("size", 1.0), member.get("up_since_ms", 0)
-        sound = isinstance(cell, int) and isinstance(size, int | float) and isinstance(up_since, int)
-        if state is State.UP and (address is None or not sound):
-            state = State.DRAINING
-        entry = Endpoint(
-            id=number_of(member["id"]),
-            zone=self.zones.get(str(member.get("locality")), len(self.zones)),
-            kind=self.kinds.get(str(member.get("flavor")), len(self.kinds)),
-            cell=cell if sound else 0,
-            state=state,
-            units=float(size) if sound else 1.0,
-            started=up_since * MS - self.clock_offset if sound and up_since else 0,
-        )
-        return entry, address
--- a/garnethaven/ops/service.py
+++ b/garnethaven/ops/service.py
@@ -8,7 +8,7 @@
 
 from garnethaven.addresses import Address
 from garnethaven.engine.engine import Engine
-from garnethaven.membership.discovery import number_of
+from garnethaven.membership.list_reader import number_of
 from garnethaven.ops.bans import BansError
 from garnethaven.ops.figures import Endpoints, rendered
 from garnethaven.ops.front import Front, Routes
--- a/garnethaven/state/feature.py
+++ b/garnethaven/state/feature.py
@@ -19,7 +19,7 @@
 
 from garnethaven.engine.engine import S
 from garnethaven.feature import Feature
-from garnethaven.membership.discovery import name_of
+from garnethaven.membership.list_reader import name_of
 from garnethaven.state.ageing import LIST_MOST_S, Figures, Kept, Moment, away, recalled
 from garnethaven.state.files import Files, moment
 from garnethaven.state.remembering import KeyedSends, opened
--- a/garnethaven/state/snapshot.py
+++ b/garnethaven/state/snapshot.py
@@ -14,7 +14,7 @@
 from garnethaven.brain import Balancer
 from garnethaven.engine.engine import MS
 from garnethaven.interface import State
-from garnethaven.membership.discovery import STATES, name_of
+from garnethaven.membership.list_reader import STATES, name_of
 from garnethaven.records import Server
 from garnethaven.settings import Names
 from garnethaven.state.ageing import Figures, Kept
--- a/tests/state/test_ageing.py
+++ b/tests/state/test_ageing.py
@@ -16,7 +16,7 @@
     Send,
     Settings,
 )
-from garnethaven.membership.discovery import name_of
+from garnethaven.membership.list_reader import name_of
 from garnethaven.state.ageing import OWN_S, RELEASE_S, Figures, Kept, Moment, away, recalled
 from garnethaven.state.snapshot import figures_of, kept_of
 
