Give every bad answer of discovery an outcome and a line with its address

Cause, seen over loopback: an endpoint listed twice took the phase of its last entry, so DRAINING before SERVING broke the drain; a size of 400 digits raised OverflowError out of the connection; NaN, infinity and negative sizes reached the weights; one id with half a surrogate pair or one port of 5,000 digits made the whole list unreadable; 'complete': 'no' counted as true and took all servers away, as did a whole list of which no entry could be read; the line on an answer that is no text held all of it. A cut answer, one that is too long and a call without an answer wrote no line, and no line named discovery's address.

Ruled out: refusing a list with a bad entry (all news would be lost with it), the last of two entries (breaks drains).

Where changes hide one (twice, or without an id) the next call is for the whole list, once. Lines name host:port and are not repeated within 10 s. A list may have 1/32 of limits.memory_mb, not less than 2 MiB as before.

--- a/garnethaven/limits/budgets.py
+++ b/garnethaven/limits/budgets.py
@@ -15,6 +15,10 @@
 spoilt ones do. A body or an answer that flows takes its most from the same budget; where that is used up,
 a request whose body is long is refused at once, and trying again is harmless.
 
+A list of servers is held whole until it is read: one of up to `LIST_PART` of the memory, or `MIN_LIST_BYTES`
+where that is more. What is made of a list takes some 28 bytes for each of its own, so that one at the bound
+just fits; docs/design/sizes.md has the figures.
+
 While a new version starts beside the old one, both have half of either. `SPARE` is for both together: neither
 has that many things that nobody asks for.
 """
@@ -28,6 +32,8 @@
 ANSWERS_PART = 0.25
 ORDINARY_ANSWER = 64 * 1024
 MB = 1024 * 1024
+LIST_PART = 1 / 32
+MIN_LIST_BYTES = 2 * MB
 
 
 class Descriptors:
@@ -54,6 +60,11 @@
         return max(self.sure, self.shared - max(self.sure, held))
 
 
+def max_list_bytes(memory_mb: int) -> int:
+    """The longest list of servers that is taken, in bytes of JSON; `memory_mb` is the process's limit."""
+    return max(MIN_LIST_BYTES, int(memory_mb * MB * LIST_PART))
+
+
 class AnswerMemory:
     """What answers may take up together, in bytes; `memory_mb` is the process's limit."""
 
--- a/garnethaven/membership/call_schedule.py
+++ b/garnethaven/membership/call_schedule.py
@@ -70,6 +70,7 @@
     """Close the connection of a call whose answer is not awaited any longer."""
 
     number: int
+    timed_out: bool = False  # else another answer made it needless
 
 
 CallAction = BeginCall | AbandonCall
@@ -239,7 +240,7 @@
         actions: list[CallAction] = []
         for number, call in list(self.open_calls.items()):
             if now >= self._ends_at(call):
-                actions.append(AbandonCall(number))
+                actions.append(AbandonCall(number, timed_out=True))
                 actions += self.failed(now, number)
         watch = self._watch()
         if self.suspect_since is None and watch is not None and now >= self._overdue_at(watch):
--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -17,17 +17,18 @@
 from garnethaven.engine.engine import Engine, S
 from garnethaven.engine.spending import Spend
 from garnethaven.interface import ListKind, Membership, Outcome
-from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.limits.budgets import AnswerMemory, max_list_bytes
 from garnethaven.limits.lists import FULL_FLEET, WAIT_MOST_S, Evidence, FreshList, Verdict
 from garnethaven.membership.call_schedule import (
     MAX_OPEN_CALLS,
+    AbandonCall,
     BeginCall,
     CallAction,
     CallKind,
     CallSchedule,
     CallTiming,
 )
-from garnethaven.membership.list_reader import MAX_LIST_BYTES, Entries, ListError, ListReader
+from garnethaven.membership.list_reader import Entries, ListError, ListReader
 from garnethaven.net.exchange import Answer, Exchange
 from garnethaven.net.transport import HttpTransport
 from garnethaven.net.upstream import Pool, Target
@@ -39,6 +40,8 @@
 # After a start the known list may be old, and what changed counts as known whether or not this process ran.
 # Many instances may start together: their first calls are drawn from this span in a fleet of `FULL_FLEET`.
 FIRST_CALL_SPAN_S = 0.5
+REPEATED_LINE_S = 10.0
+MAX_LINE_CHARACTERS = 500  # of what an answer may put into a line of the log
 HEARS_S = 0.02  # an answer that came while this process stood still is read before its call is given up
 EVIDENCE = {
     Outcome.CONNECT_FAILED: Evidence.REFUSED_DIAL,
@@ -50,17 +53,25 @@
 class ListCall(Exchange):
     """One call to discovery; the schedule knows it by its number."""
 
-    body_limit = MAX_LIST_BYTES
+    failure = "no answer in time"  # why it ended without an answer, for the log
 
-    def __init__(self, discovery: Discovery, payload: bytes, number: int) -> None:
+    def __init__(self, discovery: Discovery, payload: bytes, action: BeginCall) -> None:
         super().__init__((payload,))
         self.discovery = discovery
-        self.number = number
+        self.body_limit = discovery.max_list_bytes
+        self.number = action.number
+        self.full = action.full
 
     def answered(self, answer: Answer) -> None:
         self.discovery.told(self, answer)
 
     def broken(self, written: bool) -> None:
+        if self.oversized:
+            self.failure = f"the answer is longer than the {self.body_limit} bytes that a list may have"
+        elif self.refused:
+            self.failure = "no connection comes up"
+        else:
+            self.failure = "the connection ended before the whole answer"
         self.discovery.ended(self)
 
 
@@ -87,6 +98,7 @@
         self.pool = Pool(
             loop, limit=lambda: MAX_CONNECTIONS, idle_s=0.0, memory=AnswerMemory(config.memory_mb)
         )
+        self.max_list_bytes = max_list_bytes(config.memory_mb)
         self.pool.targets = lambda: (self.target,)
         self.pool.settle_s = 0.0  # the next call must follow at once, and one answer is like the other
         self.address = config.discovery
@@ -107,6 +119,8 @@
         self.told_empty = False  # the list has no entry, and changes are all that the watch would tell
         self.again: asyncio.TimerHandle | None = None  # when it is asked for again for that
         self.owes_news = False  # the module asked and has not been answered
+        self.last_line = ""
+        self.last_line_at = 0.0
         self.calls_made = 0
         self.extra_calls = 0  # of these, calls that may not wait for news
         engine.watch = self.watch
@@ -189,9 +203,15 @@
             if isinstance(action, BeginCall):
                 self._begin(action)
             else:
-                self.calls.pop(action.number).give_up()  # tells nobody: the schedule knows
+                self._abandon(action)
         self._set_alarm()
 
+    def _abandon(self, action: AbandonCall) -> None:
+        call = self.calls.pop(action.number)
+        if action.timed_out:
+            self._log(call.failure)
+        call.give_up()  # tells nobody: the schedule knows
+
     def _set_alarm(self) -> None:
         """Have the schedule advance when it is due."""
         if self.alarm is not None:
@@ -212,7 +232,7 @@
         host = b"%s:%d" % (self.address[0].encode(), self.address[1])
         path = b"/api/targets%s" % (b"" if action.full else query)
         payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, host)
-        call = ListCall(self, payload, action.number)
+        call = ListCall(self, payload, action)
         self.calls[action.number] = call
         self.calls_made += 1
         self.extra_calls += action.kind is CallKind.FETCH
@@ -225,6 +245,7 @@
     def ended(self, call: ListCall) -> None:
         """A call has ended without an answer."""
         if self.calls.pop(call.number, None) is not None:
+            self._log(call.failure)
             self._failed(self.schedule.failed(self.loop.time(), call.number))
 
     def _failed(self, actions: list[CallAction]) -> None:
@@ -243,21 +264,37 @@
                 raise ListError(f"status {answer.status}")
             listed = self.reader.read_list(b"".join(answer.body))
         except ListError as problem:
-            self.engine.log(f"discovery: {problem}")
+            self._log(str(problem))
             self._failed(self.schedule.failed(now, call.number))
             return
         revision, complete, entries = listed.revision, listed.complete, listed.entries
         verdict = self.fresh.judge(now, revision, complete, len(entries))
         self.told_empty = not entries and (verdict is Verdict.TAKE_AND_ASK or self.told_empty)
         if verdict is Verdict.PASS_OVER:
-            self.engine.log(f"discovery: revision {revision} is behind {self.fresh.revision}, passed over")
+            self._log(f"revision {revision} is behind {self.fresh.revision}, passed over")
             self._carry_out(self.schedule.answered_behind(now, call.number))
             return
+        if listed.flaws:
+            self._log(listed.problems())
         # The next call goes out first: taking in a long list must not end the watch.
         self._carry_out(self.schedule.answered(now, call.number, changed=bool(entries)))
+        if listed.hides_changes() and not call.full:
+            self._carry_out(self.schedule.ask(now, full=True))
         if verdict is Verdict.TAKE_AND_ASK:
-            self.engine.log("discovery: an empty list; asked for again")
+            self._log("an empty list; asked for again")
         if entries or complete or self.owes_news:
             self.owes_news = False
             self.learn(ListKind.FULL if complete else ListKind.DELTA, entries)
         self._ask_again()
+
+    def _log(self, text: str) -> None:
+        """One line that names discovery's address; not again the same within `REPEATED_LINE_S`.
+
+        Without that, a discovery that is down would take all of the lines that a second allows.
+        """
+        now = self.loop.time()
+        if text == self.last_line and now - self.last_line_at < REPEATED_LINE_S:
+            return
+        host, port = self.address
+        if self.engine.says(f"discovery: {text[:MAX_LINE_CHARACTERS]} ({host}:{port})"):
+            self.last_line, self.last_line_at = text, now
--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -145,6 +145,8 @@
             if self._is_long():
                 self._pass_on()
             if self._too_large():
+                if self.exchange is not None:
+                    self.exchange.oversized = True
                 self._break()
         if self.complete:
             self._finish()
--- a/garnethaven/net/exchange.py
+++ b/garnethaven/net/exchange.py
@@ -53,6 +53,7 @@
         self.dial: asyncio.Task[None] | None = None
         self.over = False
         self.refused = False  # no connection came up, through no shortage of this side
+        self.oversized = False  # its answer was longer than may be held
         self.stale = False  # a kept connection ended under it before anything came back
         self.careful = False  # it must not be lost: no connection in doubt is good enough
         self.again = False  # it repeats a try that was lost, perhaps on a connection in doubt
