Hold 1,100 servers and processes in 32 MB and 256 descriptors, and tell of every bound

An empty deque of idle connections was 0.7 KB for each server, and the configuration's list was held for the whole life. The flaws of a registry's entries were remembered for 1,000 of them only: 4,096.

Ruled out: a share of 1/16 (a list at the bound would need more than all of 192 MB by 28 bytes a byte, the first estimate, and 240 by the measured 20); a bound below 2 MiB where memory is short (it would refuse what was taken before).

--- a/garnethaven/app/sidecar.py
+++ b/garnethaven/app/sidecar.py
@@ -51,6 +51,8 @@
             self.ops.prepare()
         self.engine.start()
         self.discovery.start(parts.known)
+        parts.known.clear()  # it has been read: thousands of entries need not be held for the whole life
+        config.known.clear()
         self.listener = parts.listener = Listener(
             config, self.engine, self.transport, loop, self._clients_most
         )
--- a/garnethaven/connections/pool.py
+++ b/garnethaven/connections/pool.py
@@ -441,7 +441,7 @@
         if not spare:
             return False
         least = max(spare, key=lambda target: (target.surplus(now), -target.idle[0].idle_since))
-        least.idle.popleft().drop()
+        least.idle.pop(0).drop()
         return True
 
 
--- a/garnethaven/limits/budgets.py
+++ b/garnethaven/limits/budgets.py
@@ -16,8 +16,8 @@
 a request whose body is long is refused at once, and trying again is harmless.
 
 A list of servers is held whole until it is read: one of up to `LIST_PART` of the memory, or `MIN_LIST_BYTES`
-where that is more. What is made of a list takes some 28 bytes for each of its own, so that one at the bound
-just fits; docs/design/sizes.md has the figures.
+where that is more. A list and what is made of it take some 20 bytes for each of its own, so that one at the
+bound fits from 64 MB on; docs/design/sizes.md has the figures.
 
 While a new version starts beside the old one, both have half of either. `SPARE` is for both together: neither
 has that many things that nobody asks for.
--- a/garnethaven/membership/entries.py
+++ b/garnethaven/membership/entries.py
@@ -12,7 +12,7 @@
 from garnethaven.membership.model import Fact
 from garnethaven.membership.payloads import Payload, PayloadError
 
-FLAWS_MOST = 1_000  # versions that are remembered as told; beyond it the oldest may be told of again
+FLAWS_MOST = 4_096  # versions that are remembered as told; beyond it the oldest may be told of again
 
 
 class Entries:
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -6,7 +6,6 @@
 import contextlib
 import socket
 import time
-from collections import deque
 from collections.abc import Callable, Iterable
 
 from garnethaven.addresses import Address
@@ -26,7 +25,7 @@
     def __init__(self, pool: Pool, address: Address | None) -> None:
         self.pool = pool
         self.address = address  # None: nothing may be sent there (any more)
-        self.idle: deque[Connection] = deque()  # the freshest last
+        self.idle: list[Connection] = []  # the freshest last; no deque: an empty one takes 0.7 KB
         self.waiting: set[Exchange] = set()
         self.started = 0  # when its process started, as far as it is told
         self.anew_at = 0  # when that was told
@@ -239,6 +238,6 @@
         expired = self.expired()
         for target in self.targets():
             while target.idle and target.idle[0].idle_since <= expired:
-                target.idle.popleft().drop()
+                target.idle.pop(0).drop()
             if target.idle:
                 self.watch_idle()
--- /dev/null
+++ b/tests/membership/test_sizes.py
@@ -0,0 +1,260 @@
+"""Long lists: what a program with little memory and few descriptors makes of 1,100 servers, or 15,000."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import importlib
+import json
+import signal
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from garnethaven.limits.budgets import ANSWERS_PART, MB, MIN_LIST_BYTES, max_list_bytes
+from garnethaven.membership.catchup import Entry, Tell
+from garnethaven.membership.entries import Entries
+from garnethaven.membership.model import Model
+from garnethaven.membership.payloads import Payload, Rules
+from garnethaven.peers.table import Peers
+from standins.ports import PORTS
+from tests.loopback import (
+    ANSWER,
+    Peer,
+    config_file,
+    facts,
+    read_message,
+    ready,
+    request,
+    run,
+    says,
+    silent,
+    until,
+)
+
+ROOT = Path(__file__).parents[2]
+SERVERS = 1_100
+LISTENERS = 20  # that all servers' addresses lead to: this process has descriptors of its own to spare
+CHANGES = 12
+REPLACED = 50  # servers in each change
+CLIENTS = 40
+PAUSE_S = 0.1  # of a client between an answer and its next request
+PIECE_BYTES = 4_000
+
+
+def members_of(first: int, count: int, ports: list[int]) -> list[dict[str, Any]]:
+    """Entries as long as usual ones."""
+    return [
+        {
+            "id": f"s-{number:08x}",
+            "host_port": f"127.0.0.1:{ports[number % len(ports)]}",
+            "locality": "a",
+            "flavor": "m",
+            "cell": number % 40,
+            "phase": "SERVING",
+            "size": 1.0,
+            "up_since_ms": 1_700_000_000_000 + number,
+        }
+        for number in range(first, first + count)
+    ]
+
+
+class WholeLists(Peer):
+    """A discovery that tells its whole list for every call, after each of its changes, in pieces."""
+
+    def __init__(self, ports: list[int], count: int, changes: int, indent: int | None) -> None:
+        super().__init__(self._tell)
+        self.ports = ports
+        self.count = count
+        self.changes = changes
+        self.indent = indent
+        self.revision = 100
+
+    async def _tell(self, head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.revision - 100 >= self.changes:
+            await silent(head, reader, writer)
+        first = REPLACED * (self.revision - 100)
+        self.revision += 1
+        told = {
+            "revision": self.revision,
+            "complete": True,
+            "members": members_of(first, self.count, self.ports),
+        }
+        body = json.dumps(told, indent=self.indent).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+        for at in range(0, len(body), PIECE_BYTES):
+            writer.write(body[at : at + PIECE_BYTES])
+            await writer.drain()
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.1)  # requests are served between two changes
+
+    def told_all(self) -> bool:
+        return self.revision - 100 >= self.changes
+
+
+class Program:
+    """A sidecar as a process of its own; what it uses is read from the system."""
+
+    def __init__(self, process: asyncio.subprocess.Process, port: int) -> None:
+        self.process = process
+        self.port = port
+        self.most_descriptors = 0
+
+    def peak_mb(self) -> float:
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = (line for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
+    def look(self) -> None:
+        held = len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
+        self.most_descriptors = max(self.most_descriptors, held)
+
+    async def ask(self, client: str, until_over: asyncio.Event) -> list[bytes]:
+        """Requests one after the other on one connection; their status lines."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        statuses = []
+        while not until_over.is_set():
+            writer.write(request(X_Call_Id=f"{client}-{len(statuses)}", Idempotency_Key=f"k{client}"))
+            head, _ = await read_message(reader)
+            statuses.append(head.split(b"\r\n")[0])
+            if b"connection: close" in head.lower():
+                writer.close()
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            self.look()
+            await asyncio.sleep(PAUSE_S)
+        writer.close()
+        return statuses
+
+
+@contextlib.asynccontextmanager
+async def program(
+    path: Path, discovery: Peer, limits: dict[str, int], **changes: Any
+) -> AsyncIterator[Program]:
+    port = PORTS.take()
+    config = config_file(
+        path, listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{discovery.port}", limits=limits, **changes
+    )
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "garnethaven"),
+        env={"NODE_CONFIG": str(config)},
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        await ready(port)
+        yield Program(process, port)
+    finally:
+        process.send_signal(signal.SIGTERM)
+        _, said = await process.communicate()
+    assert b"Traceback" not in said and process.returncode == 0, said.decode()
+
+
+def settings_of(fleet_size: int) -> dict[str, Any]:
+    settings = facts() | {"membershipMode": "ask", "fleetSize": fleet_size, "slotNo": 13}
+    settings["limits"]["connIdleNs"] = 2 * 10**9
+    return settings
+
+
+@pytest.mark.parametrize("indent", [None, 2])
+def test_eleven_hundred_servers_and_processes_fit_in_32_mb_and_256_descriptors(
+    indent: int | None, tmp_path: Path
+) -> None:
+    limits = {"memory_mb": 32, "sockets": 256}
+
+    async def case() -> None:
+        servers = [await Peer(says(ANSWER)).start() for _ in range(LISTENERS)]
+        ports = [server.port for server in servers]
+        discovery = await WholeLists(ports, SERVERS, CHANGES, indent).start()
+        known = {"revision": 90, "complete": True, "members": members_of(0, SERVERS, ports)}
+        settings = settings_of(SERVERS)
+        async with program(tmp_path / "c.json", discovery, limits, settings=settings, known=known) as made:
+            over = asyncio.Event()
+            clients = []
+            for number in range(CLIENTS):  # one by one: a program that has just begun takes a few at first
+                clients.append(asyncio.create_task(made.ask(f"c{number}", over)))
+                await asyncio.sleep(0.01)
+            await until(discovery.told_all)
+            await asyncio.sleep(1.0)
+            over.set()
+            statuses = [status for client in clients for status in await client]
+            peak_mb = made.peak_mb()
+            print(f"{len(statuses)} requests, peak {peak_mb:.1f} MB, {made.most_descriptors} descriptors")
+            assert len(statuses) > CLIENTS * 5
+            assert set(statuses) == {b"HTTP/1.1 200 OK"}
+            assert peak_mb < limits["memory_mb"]
+            assert made.most_descriptors < limits["sockets"]
+            assert len(discovery.requests) == CHANGES + 1  # each list was taken at its first telling
+        for peer in (*servers, discovery):
+            peer.server.close()
+
+    run(case())
+
+
+def test_fifteen_thousand_servers_are_taken_where_memory_allows(tmp_path: Path) -> None:
+    limits = {"memory_mb": 192, "sockets": 256}
+
+    async def case() -> None:
+        servers = [await Peer(says(ANSWER)).start() for _ in range(LISTENERS)]
+        discovery = await WholeLists([server.port for server in servers], 15_000, 2, None).start()
+        async with program(tmp_path / "c.json", discovery, limits, settings=settings_of(SERVERS)) as made:
+            await until(lambda: len(discovery.requests) == 3)  # both were taken: the next watch is out
+            over = asyncio.Event()
+            asking = asyncio.create_task(made.ask("c", over))
+            await asyncio.sleep(0.5)
+            over.set()
+            assert set(await asking) == {b"HTTP/1.1 200 OK"}
+            peak_mb = made.peak_mb()
+            print(f"peak {peak_mb:.1f} MB")
+            assert peak_mb < limits["memory_mb"]
+        for peer in (*servers, discovery):
+            peer.server.close()
+
+    run(case())
+
+
+@pytest.mark.parametrize("memory_mb", [20, 32, 64, 65, 192, 2048])
+def test_the_longest_list_grows_with_the_memory_and_is_never_under_two_megabytes(memory_mb: int) -> None:
+    most = max_list_bytes(memory_mb)
+    assert most == max(MIN_LIST_BYTES, memory_mb * MB // 32)
+    assert most < memory_mb * MB * ANSWERS_PART  # or the budget for answers would break it off first
+    entry = json.dumps(members_of(15_000, 1, [65_535])[0], indent=2)
+    assert most > SERVERS * len(entry) * 2  # half of it left to longer names
+
+
+def test_each_of_eleven_hundred_bad_entries_of_a_registry_is_told_of_once() -> None:
+    entries = Entries("", Payload(Rules(), {}, {}, lambda wall_ms: wall_ms))
+    bad = Tell({f"k{number}": Entry(b"no JSON", number, number) for number in range(SERVERS)}, whole=True)
+    for _ in range(2):  # as after a reconnect, which reads all of them anew
+        entries.take(bad, 0)
+    assert entries.flaws.total() == SERVERS
+
+
+@pytest.mark.parametrize(
+    ("module", "name"),
+    [
+        ("budgets.lending", "GIVERS_MOST"),
+        ("budgets.lending", "HOMES_MOST"),
+        ("budgets.lending", "SUBJECTS_MOST"),
+        ("connections.idle_limits", "REMEMBERED_MOST"),
+        ("extproc.answers", "ADDRESSES_MOST"),
+        ("judgements.evidence", "ENDPOINTS_MOST"),
+        ("membership.catchup", "ENDED_MOST"),
+        ("membership.catchup", "ENTRIES_MOST"),
+        ("membership.entries", "FLAWS_MOST"),
+        ("membership.etcd.answers", "FRAGMENTS_MOST"),
+        ("membership.zookeeper.following", "MEMBERS_MOST"),
+        ("ops.bans", "MOST"),
+        ("peers.datagrams", "PROCESSES_MOST"),
+        ("peers.datagrams", "SOURCES_MOST"),
+        ("peers.membership", "OPEN_MOST"),
+    ],
+)
+def test_no_list_of_servers_or_processes_is_bounded_below_1024(module: str, name: str) -> None:
+    assert getattr(importlib.import_module(f"garnethaven.{module}"), name) >= 1024
+
+
+def test_so_many_processes_are_known_without_a_word_of_the_operator() -> None:
+    assert Peers().members_most >= 1024 and Model.FORGOTTEN_MOST >= 1024
