Let a watch's answer not cancel the fetch of a full list that it can't stand for

Seen in joining: a list of changes that names an endpoint twice asks for the full list; the watch beside it was answered first, and the schedule gave the full fetch up as needless (call_schedule.py, _abandon_needless), so that the true entry might never come. A fetch of the full list is kept until a full list has come.

--- a/garnethaven/membership/call_schedule.py
+++ b/garnethaven/membership/call_schedule.py
@@ -127,6 +127,7 @@
     kind: CallKind
     began_at: float
     wait_s: float
+    full: bool
 
 
 @dataclass(slots=True)
@@ -275,8 +276,8 @@
 
     def _begin(self, now: float, kind: CallKind, wait_s: float) -> BeginCall:
         self.call_count += 1
-        self.open_calls[self.call_count] = OpenCall(kind, now, wait_s)
         full = kind is CallKind.FETCH and self.needs_full_list
+        self.open_calls[self.call_count] = OpenCall(kind, now, wait_s, full)
         return BeginCall(self.call_count, kind, full, wait_s)
 
     def _watch(self) -> OpenCall | None:
@@ -292,11 +293,12 @@
 
     def _abandon_needless(self, now: float) -> list[CallAction]:
         """Give up what a sound answer has made needless: other fetches, and a watch that is overdue."""
-        needless = [
-            number
-            for number, call in self.open_calls.items()
-            if call.kind is CallKind.FETCH or now >= self._overdue_at(call)
-        ]
+        needless = [number for number, call in self.open_calls.items() if self._is_needless(call, now)]
         for number in needless:
             del self.open_calls[number]
         return [AbandonCall(number) for number in needless]
+
+    def _is_needless(self, call: OpenCall, now: float) -> bool:
+        if call.kind is CallKind.WATCH:
+            return now >= self._overdue_at(call)
+        return not (call.full and self.needs_full_list)
