Describe to features the members of [peers] by a protocol, not by the feature's class

parts.py named the class PeersFeature and peers/feature.py names Parts: an import circle, for types only. Moving Parts.peers to another module was ruled out: the circle would have gone with it.

No behaviour changes.

--- a/garnethaven/budgets/feature.py
+++ b/garnethaven/budgets/feature.py
@@ -16,8 +16,7 @@
 from garnethaven.peers.feature import clock
 
 if TYPE_CHECKING:
-    from garnethaven.parts import Parts
-    from garnethaven.peers.feature import PeersFeature
+    from garnethaven.parts import Parts, PeerGroup
 
 
 def budgets_of(table: Budgets) -> dict[int, Budget]:
@@ -43,7 +42,7 @@
     def __init__(self, table: Budgets, parts: Parts) -> None:
         super().__init__(table, parts)
         self.lending: Lending | None = None
-        self.peers: PeersFeature | None = None
+        self.peers: PeerGroup | None = None
 
     def prepare(self) -> None:
         if budgets_of(self.table):
--- a/garnethaven/parts.py
+++ b/garnethaven/parts.py
@@ -15,7 +15,8 @@
     from garnethaven.limits.lists import FreshList
     from garnethaven.net.listener import Listener
     from garnethaven.net.transport import HttpTransport, MakePool
-    from garnethaven.peers.feature import PeersFeature
+    from garnethaven.peers.conversation import Peer
+    from garnethaven.peers.table import Peers
 
     Learn = Callable[[ListKind, list[tuple[Endpoint, Address | None]]], None]
 
@@ -37,6 +38,19 @@
         """What an earlier life kept, so many seconds ago; raises ValueError where it can't be read."""
 
 
+class PeerGroup(Protocol):
+    """The members of `[peers]`, as other features use them (`PeersFeature`)."""
+
+    table: Peers
+    peer: Peer | None  # this member; None while the operator's file gives it no address
+    after: list[Callable[[int], None]]  # called after each period with its time, in nanoseconds
+    period_s: float  # seconds between two exchanges
+    horizon_s: float  # seconds after which what a member said of itself no longer counts
+
+    def listed(self) -> int:
+        """The number of members in the operator's file, this one included."""
+
+
 @dataclass
 class Parts:
     """`make_pool` and `learn` may be replaced by a feature before they are used."""
@@ -47,7 +61,7 @@
     make_pool: MakePool
     figures: Callable[[], dict[str, object]]
     known: dict[str, Any] = field(default_factory=dict)  # the list to begin with, in discovery's form
-    peers: PeersFeature | None = None  # where members know of one another
+    peers: PeerGroup | None = None  # where members know of one another
     keepers: dict[str, Keeper] = field(default_factory=dict)  # by the part of the state that each owns
     transport: HttpTransport = field(init=False)
     learn: Learn = field(init=False)
