End the import circle of net/client.py with net/owner.py by a protocol for each side

owner.py described the listener to its connections in terms of ClientConnection, which imports owner.py. The cause: connections wrote to the listener's sets and counters, and the listener was typed by the class it makes. Now owner.py states both sides, OwnedConnection and Owner; connections report by methods (opened, request_received, closes, forget) and the listener alone changes its sets and counters. To type the sets as set[Any] was ruled out: it would hide what the listener needs of a connection.

No behaviour changes; the order of the calls at a connection's end is the same.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -51,9 +51,9 @@
 class ClientConnection(asyncio.Protocol):
     """One connection of the application: one request at a time, answered in turn."""
 
-    def __init__(self, listener: Owner, sock: socket.socket, overflow: bool) -> None:
-        self.listener = listener
-        self.engine = listener.engine
+    def __init__(self, owner: Owner, sock: socket.socket, overflow: bool) -> None:
+        self.owner = owner
+        self.engine = owner.engine
         self.sock = sock
         self.overflow = overflow
         self.parser: HttpRequestParser | None = HttpRequestParser(self)
@@ -77,7 +77,7 @@
         self.linger: asyncio.TimerHandle | None = None
         self.swallowed = 0
         self.penalised = False
-        self.active_at = listener.loop.time()
+        self.active_at = owner.loop.time()
         self.usage = Usage(self.active_at)
         self.waits_since = self.active_at  # for a whole request; 0: nothing is due
         self.head_at = self.body_at = 0.0  # when the head was whole, when bytes of the body last came
@@ -87,15 +87,13 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own, of no common class
-        self.listener.connections.add(self)
-        self.listener.never_asked += 1
-        self.listener.accepted.discard(self.sock)
+        self.owner.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        self.active_at = self.listener.loop.time()
-        if self.early or self.listener.hears_first(self.active_at):
+        self.active_at = self.owner.loop.time()
+        if self.early or self.owner.hears_first(self.active_at):
             if not self.early:
-                self.listener.loop.call_later(HEARS_FIRST_S, self._read_early)
+                self.owner.loop.call_later(HEARS_FIRST_S, self._read_early)
             self.early += data
             return
         self._read(data)
@@ -138,7 +136,7 @@
         if not self.version_sent and not self.transport.is_closing():
             self.version_sent = True
             self.transport.write(VERSION)
-            self.listener.loop.call_later(HALF_CLOSED_CHECK_S, self._check_gone)
+            self.owner.loop.call_later(HALF_CLOSED_CHECK_S, self._check_gone)
 
     def _check_gone(self) -> None:
         if (self.call is not None or self.checked is not None) and not self.has_left():
@@ -178,10 +176,7 @@
         call, self.call = self.call, None
         if call is not None:
             self.engine.left(call)
-        if not self.usage.asked:
-            self.listener.never_asked -= 1
-        self.listener.places.gone(self.usage, self.listener.loop.time())
-        self.listener.forget(self)
+        self.owner.forget(self)
 
     # Reading
 
@@ -263,9 +258,7 @@
         assert incoming is not None and self.parser is not None
         incoming.keep_alive = self.parser.should_keep_alive()
         self.waits_since = 0.0
-        if not self.usage.asked:
-            self.listener.never_asked -= 1
-        self.listener.places.asks(self.usage, self.active_at)
+        self.owner.request_received(self.usage, self.active_at)
         if incoming.flow is not None:
             incoming.flow.end()
         if self.flowing is not incoming:
@@ -290,10 +283,10 @@
     def _takes_memory(self) -> None:
         if not self.flow_cost:
             self.flow_cost = FLOW_COST
-            self.listener.transport.pool.memory.grows(FLOW_COST)
+            self.owner.transport.pool.memory.grows(FLOW_COST)
 
     def _gives_memory_back(self) -> None:
-        self.listener.transport.pool.memory.shrinks(self.flow_cost)
+        self.owner.transport.pool.memory.shrinks(self.flow_cost)
         self.flow_cost = 0
 
     def pause_reading(self) -> None:
@@ -317,7 +310,7 @@
         while self.ready and self._is_free():
             incoming = self.ready.popleft()
             self.keep_alive = incoming.keep_alive
-            if self.listener.is_late() and self._has_ended_writing():
+            if self.owner.is_late() and self._has_ended_writing():
                 self.checked = incoming  # taken once it is known whether anybody waits for its answer
                 self._half_closes()
             else:
@@ -335,12 +328,12 @@
         path = incoming.url.partition(b"?")[0]
         if path.startswith(b"/-/"):
             ready = path == b"/-/ready"
-            self._say(404 if not ready else 503 if self.listener.draining else 200)
+            self._say(404 if not ready else 503 if self.owner.draining else 200)
             return
-        want = wanted(incoming, self.listener.classes)
+        want = wanted(incoming, self.owner.classes)
         if want is None:
             self._turn_away(400)
-        elif self.overflow or (self.flowing is not None and self.listener.transport.pool.memory.full()):
+        elif self.overflow or (self.flowing is not None and self.owner.transport.pool.memory.full()):
             self.engine.account.at_once(want.grade, End.REFUSED)
             self._say(503)
         else:
@@ -352,7 +345,7 @@
 
     def _call(self, incoming: Incoming, want: Wanted) -> Call:
         request = HttpRequest(self, want.head, incoming.flow or incoming.body)
-        call = Call(self, want.call_id, self.listener.transport, request)
+        call = Call(self, want.call_id, self.owner.transport, request)
         call.grade = want.grade
         # No client waits longer than its class does; a larger figure would only hold memory.
         call.budget = min(want.budget_ms * MS, self.engine.settings.grades[want.grade].deadline)
@@ -424,7 +417,7 @@
         self._say(status)
         if not self.closing and not self.transport.is_closing():
             self.transport.pause_reading()
-            self.listener.loop.call_later(PENALTY_S, self._end_penalty)
+            self.owner.loop.call_later(PENALTY_S, self._end_penalty)
 
     def _end_penalty(self) -> None:
         self.penalised = False
@@ -443,11 +436,11 @@
         self._answered()
 
     def _head(self, status: int, headers: list[Header], framing: bytes) -> bytes:
-        if self.half_closed or self.overflow or self.listener.draining or self.flowing is not None:
+        if self.half_closed or self.overflow or self.owner.draining or self.flowing is not None:
             self.keep_alive = False
         elif self.keep_alive and not self.ready and not self.unread:
-            self.usage.since = self.listener.loop.time()
-            self.keep_alive = not self.listener.ends_with_answer(self)
+            self.usage.since = self.owner.loop.time()
+            self.keep_alive = not self.owner.ends_with_answer(self)
         rest = answer_head(status, headers, framing, self.keep_alive)
         return rest if self.version_sent else VERSION + rest
 
@@ -456,12 +449,12 @@
         if self.flow_cost:
             self._gives_memory_back()
         self.version_sent = self.chunked = False
-        self.active_at = self.usage.since = self.listener.loop.time()
+        self.active_at = self.usage.since = self.owner.loop.time()
         if not self.keep_alive:
             self._linger(LINGER_FLOW_S if self.flowing is not None else LINGER_S)
         elif (self.unread or self.ready or self._flow_waits()) and not self.penalised:
             # Not at once: a client that sends ahead must not keep the others waiting.
-            self.listener.loop.call_soon(self._go_on)
+            self.owner.loop.call_soon(self._go_on)
 
     def _go_on(self) -> None:
         if not self._is_free():
@@ -491,7 +484,7 @@
 
     def _count_unheard(self) -> None:
         """Enter a request that is answered before it was whole, where it names a class."""
-        grade = self.listener.classes.grades.get(self.incoming.named_class()) if self.incoming else None
+        grade = self.owner.classes.grades.get(self.incoming.named_class()) if self.incoming else None
         if grade is not None:
             self.engine.account.at_once(grade, End.FAILED)
 
@@ -503,18 +496,18 @@
         if self.half_closed:
             self.transport.close()  # it has ended: nothing can come
             return
-        self.listener.lingers(self)
+        self.owner.lingers(self)
         self.transport.resume_reading()
         self.transport.write_eof()
         self._linger_for(most_s)
 
     def _linger_for(self, most_s: float) -> None:
-        until = min(self.listener.loop.time() + most_s, self.listener.lingers_until)
-        self.linger = self.listener.loop.call_at(until, self._end_linger)
+        until = min(self.owner.loop.time() + most_s, self.owner.lingers_until)
+        self.linger = self.owner.loop.call_at(until, self._end_linger)
 
     def _end_linger(self) -> None:
         """Close, unless the client still takes its answer; one that stops is ended by `look_after`."""
-        if self.transport.get_write_buffer_size() and self.listener.loop.time() < self.listener.lingers_until:
+        if self.transport.get_write_buffer_size() and self.owner.loop.time() < self.owner.lingers_until:
             self._linger_for(LINGER_S)
         else:
             self.transport.abort()
@@ -535,10 +528,6 @@
             return False
         return not has_unread(self.sock) and not self.transport.get_write_buffer_size()
 
-    def is_new(self, now: float) -> bool:
-        """Whether its first request may be on its way."""
-        return not self.usage.asked and self.listener.places.may_be_asking(self.usage, now)
-
     def takes_room(self, now: float) -> bool:
         """Whether it only takes up room: silent or slow, or turned away."""
         if self.closing or self._has_request():
@@ -572,7 +561,7 @@
                 self._reject(408)
             else:
                 self.stop_reading()
-        elif now - self.active_at > self.listener.calm_idle_s and self.is_idle():
+        elif now - self.active_at > self.owner.calm_idle_s and self.is_idle():
             self.stop_reading()
         self.unsent = unsent
 
@@ -581,9 +570,12 @@
         if not self.closing and not self._has_request():
             self._linger(LINGER_S)
 
+    def abort(self) -> None:
+        self.transport.abort()
+
     def make_room(self) -> None:
         """End at once, where the descriptor is wanted for another."""
         if not self.closing and not self._has_request():
             self.closing = True
-            self.listener.leaving.add(self)
+            self.owner.closes(self)
             self.transport.close()
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -13,9 +13,10 @@
 from garnethaven.engine.classes import Classes
 from garnethaven.engine.engine import Engine, S
 from garnethaven.interface import Woke
-from garnethaven.limits.places import CALM_WAIT_S, FIRST_S, Places
+from garnethaven.limits.places import CALM_WAIT_S, FIRST_S, Places, Usage
 from garnethaven.net.client import HEARS_FIRST_S, ClientConnection
 from garnethaven.net.flow import RECEIVE_BUFFER
+from garnethaven.net.owner import OwnedConnection
 from garnethaven.net.transport import HttpTransport
 
 SWEEP_S = 0.2
@@ -63,10 +64,10 @@
         self.clients_part = config.sockets // CLIENTS_PART
         self.places = Places(limit(), self.clients_part)
         self.set_limits()
-        self.connections: set[ClientConnection] = set()
+        self.connections: set[OwnedConnection] = set()
         self.never_asked = 0  # of those
-        self.leaving: set[ClientConnection] = set()  # of those, closed and about to be gone
-        self.lingering: dict[ClientConnection, None] = {}  # of these, the oldest first
+        self.leaving: set[OwnedConnection] = set()  # of those, closed and about to be gone
+        self.lingering: dict[OwnedConnection, None] = {}  # of these, the oldest first
         self.arriving: set[asyncio.Task[object]] = set()
         self.accepted: set[socket.socket] = set()  # not a connection yet
         self.draining = False
@@ -150,14 +151,32 @@
         self.accepted.add(sock)
         task.add_done_callback(arrived)
 
-    def forget(self, connection: ClientConnection) -> None:
+    # What connections report (owner.py)
+
+    def opened(self, connection: OwnedConnection) -> None:
+        self.connections.add(connection)
+        self.never_asked += 1
+        self.accepted.discard(connection.sock)
+
+    def request_received(self, usage: Usage, now: float) -> None:
+        if not usage.asked:
+            self.never_asked -= 1
+        self.places.asks(usage, now)
+
+    def closes(self, connection: OwnedConnection) -> None:
+        self.leaving.add(connection)
+
+    def forget(self, connection: OwnedConnection) -> None:
+        if not connection.usage.asked:
+            self.never_asked -= 1
+        self.places.gone(connection.usage, self.loop.time())
         self.connections.discard(connection)
         self.leaving.discard(connection)
         self.lingering.pop(connection, None)
         self._listen()
         self._check_finished()
 
-    def lingers(self, connection: ClientConnection) -> None:
+    def lingers(self, connection: OwnedConnection) -> None:
         """A connection has ended on this side: it takes no place, but its descriptor for a while."""
         self.leaving.add(connection)
         self.lingering[connection] = None
@@ -167,7 +186,7 @@
         descriptors = len(self.connections) + len(self.accepted)
         for connection in list(self.lingering)[: max(0, descriptors - self.limit() - LINGERS_MOST)]:
             del self.lingering[connection]
-            connection.transport.abort()
+            connection.abort()
 
     def sock_closed(self) -> bool:
         return self.sock.fileno() < 0
@@ -187,7 +206,7 @@
         if silent:
             return min(wanted, len(silent))
 
-        def worth(one: ClientConnection) -> tuple[bool, float]:
+        def worth(one: OwnedConnection) -> tuple[bool, float]:
             return one.usage.asked > 0, -self.places.expected_wait(one.usage, now)
 
         for connection in sorted(self.connections, key=worth):
@@ -235,7 +254,7 @@
         """The connections that take a place here or on the clients' side."""
         return len(self.connections) + len(self.accepted) - len(self.leaving)
 
-    def ends_with_answer(self, connection: ClientConnection) -> bool:
+    def ends_with_answer(self, connection: OwnedConnection) -> bool:
         held = self.held() - self.never_asked
         return self.places.ends_with_answer(connection.usage, held, connection.usage.since)
 
@@ -267,10 +286,14 @@
         self.loop.call_at(min(now + DRAIN_LISTEN_S, most), self._stop_listening, most)
         self.read_until = min(now + DRAIN_READ_S, self.last_answer_at)
 
+    def _may_ask_first(self, usage: Usage, now: float) -> bool:
+        """Whether the first request of a connection may be on its way."""
+        return not usage.asked and self.places.may_be_asking(usage, now)
+
     def _close_idle(self) -> None:
         now = self.loop.time()
         for connection in list(self.connections):
-            if connection.is_idle() and not connection.is_new(now):
+            if connection.is_idle() and not self._may_ask_first(connection.usage, now):
                 connection.stop_reading()
 
     def _stop_listening(self, latest: float) -> None:
