Move the reading of requests out of the client's connection

net/client.py held the parser's callbacks, the bounds of a request and its deadlines beside the life of a connection. Now request_deadlines.py tells by the time alone how long a head and a body may take, and request_reader.py turns bytes into requests and raises UnreadableRequest with the status of the answer, in place of three calls that answered from within the parsing. Mixing the callbacks in by a base class was ruled out: it would have kept one object with all the state. The reader's link to the connection ends with the connection, for a cycle would wait for a full collection.

Tests patch the deadlines where they are now (request_deadlines); no assertion changes. No behaviour changes.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -4,36 +4,23 @@
 
 import asyncio
 import socket
-from collections import deque
 from typing import cast
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-
 from garnethaven.engine.account import End
 from garnethaven.engine.calls import Call
 from garnethaven.engine.engine import MS
 from garnethaven.limits.places import FIRST_S, Usage
 from garnethaven.net.answers import VERSION, answer_head
 from garnethaven.net.exchange import Answer, Header
-from garnethaven.net.flow import BODY_MOST, FLOW_COST, HELD_LIMIT, LAST_CHUNK, STALL_S, Body, chunk
+from garnethaven.net.flow import BODY_MOST, FLOW_COST, LAST_CHUNK, STALL_S, chunk
 from garnethaven.net.owner import Owner
 from garnethaven.net.presence import has_ended_writing, has_unread, is_reset, reset_at_close
-from garnethaven.net.requests import HEAD_LIMIT, HEADERS_MOST, Incoming, Wanted, wanted
+from garnethaven.net.request_reader import RequestReader, UnreadableRequest
+from garnethaven.net.requests import Incoming, Wanted, wanted
 from garnethaven.net.transport import HttpAttempt, HttpRequest
 
 HEARS_FIRST_S = 0.02  # seconds: some rounds of the loop
 PIPELINED_LIMIT = 64 * 1024
-PIPELINED_MOST = 16  # whole requests that may wait behind one; clients send one at a time
-# A head must come in this time after its first byte, the first one after the connection's start: against
-# clients that say nothing or never end a head, whatever they mean by it. Heads may take 2 s. An application
-# that connects ahead of need finds such connections closed, as any that stands idle.
-HEAD_S = 2.4
-# A body earns its time by its bytes: at so many a second, over a grace; they come at 64 kB a second. Against
-# those that trickle, and by the pause against those that stop. It would do harm to a client that stops
-# for longer; the pages know pauses of 2 s.
-BODY_RATE = 40_000
-BODY_GRACE_S = 2.4
-BODY_PAUSE_S = 2.4
 # After a request that no endpoint may see the next one on its connection is not read for a while: a
 # client that sends the same again at once would take the time of all others. The answer itself is not
 # held. Closing instead would have it connect anew, which costs more.
@@ -56,11 +43,6 @@
         self.engine = owner.engine
         self.sock = sock
         self.overflow = overflow
-        self.parser: HttpRequestParser | None = HttpRequestParser(self)
-        self.incoming: Incoming | None = None
-        self.in_head = False
-        self.head_size = 0
-        self.ready: deque[Incoming] = deque()  # whole requests, in turn
         self.early = bytearray()  # came as the process woke, and waits for discovery's news
         self.unread = bytearray()  # what came while a request was under way
         self.checked: Incoming | None = None  # whose client has ended its writing and may have gone
@@ -79,8 +61,7 @@
         self.penalised = False
         self.active_at = owner.loop.time()
         self.usage = Usage(self.active_at)
-        self.waits_since = self.active_at  # for a whole request; 0: nothing is due
-        self.head_at = self.body_at = 0.0  # when the head was whole, when bytes of the body last came
+        self.reader = RequestReader(self, self.active_at)
         self.unsent = 0
 
     # asyncio.Protocol
@@ -169,10 +150,9 @@
         self.closing = True
         if self.linger is not None:
             self.linger.cancel()
-        self.incoming = self.flowing = self.passing = self.checked = None
+        self.flowing = self.passing = self.checked = None
         self._gives_memory_back()
-        self.ready.clear()
-        self.parser = None  # it holds this object: a cycle that only a full collection would free
+        self.reader.close()
         call, self.call = self.call, None
         if call is not None:
             self.engine.left(call)
@@ -181,88 +161,25 @@
     # Reading
 
     def _feed(self, data: bytes) -> None:
-        if self.parser is None:
-            return
-        if not self.waits_since:
-            self.waits_since = self.active_at
-        if self.in_head or self.incoming is None:
-            self.head_size += len(data)
         try:
-            self.parser.feed_data(data)
-        except HttpParserUpgrade as upgrade:
-            # The offer of another protocol is declined by going on with this one.
-            self.parser = HttpRequestParser(self)
-            self.unread[:0] = data[upgrade.args[0] :]
-        except HttpParserError:
-            if not self.ready:
-                self._reject(400)
-                return
-            self.ready[-1].keep_alive = False  # answered first, then the connection ends
-        if self.in_head and self.head_size > HEAD_LIMIT:
-            self._reject(431)
-        elif self.incoming is not None and self.incoming.status and not self.ready:
-            self._reject(self.incoming.status)  # the rest of it need not be read
-        elif len(self.ready) > PIPELINED_MOST:
-            self._reject(400)
-        else:
-            self._next()
-            if self.incoming is not None and self._flow_waits():
-                self._begin_flow(self.incoming)
-
-    def on_message_begin(self) -> None:
-        self.incoming = Incoming()
-        self.in_head = True
-        self.waits_since = self.waits_since or self.active_at
-
-    def on_url(self, url: bytes) -> None:
-        assert self.incoming is not None
-        self.incoming.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        assert self.incoming is not None
-        if len(self.incoming.headers) < HEADERS_MOST:
-            self.incoming.headers.append((name, value.rstrip()))  # the parser leaves white space there
-        else:
-            self.incoming.status = 431
-
-    def on_headers_complete(self) -> None:
-        incoming = self.incoming
-        assert incoming is not None and self.parser is not None
-        self.in_head = False
-        self.head_at = self.body_at = self.active_at
-        expects = incoming.head_ends(self.parser.get_method(), self.head_size)
-        self.head_size = 0
-        if expects:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        incoming = self.incoming
-        assert incoming is not None
-        self.body_at = self.active_at
-        if incoming.status:
+            rest = self.reader.feed(data, self.active_at)
+        except UnreadableRequest as unreadable:
+            self._reject(unreadable.status)
             return
-        if incoming.flow is None and len(incoming.body) + len(body) > HELD_LIMIT:
-            incoming.flow = Body(self, incoming.length)
-            held, incoming.body = bytes(incoming.body), bytearray()
-            if held:
-                incoming.flow.came(held)
-        if incoming.flow is None:
-            incoming.body += body
-            return
-        incoming.flow.came(body)
-        if incoming.flow.size > BODY_MOST:
-            incoming.status = 413
-
-    def on_message_complete(self) -> None:
-        incoming, self.incoming = self.incoming, None
-        assert incoming is not None and self.parser is not None
-        incoming.keep_alive = self.parser.should_keep_alive()
-        self.waits_since = 0.0
+        if rest:
+            self.unread[:0] = rest
+        self._next()
+        self._take_up_long_body()
+
+    def continue_expected(self) -> None:
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def request_completed(self, incoming: Incoming) -> None:
         self.owner.request_received(self.usage, self.active_at)
         if incoming.flow is not None:
             incoming.flow.end()
         if self.flowing is not incoming:
-            self.ready.append(incoming)
+            self.reader.ready.append(incoming)
             return
         self.flowing = None
         if self.call is not None:
@@ -270,11 +187,14 @@
 
     # A body that is too long to be held
 
-    def _begin_flow(self, incoming: Incoming) -> None:
+    def _take_up_long_body(self) -> None:
         """Take up a request whose body is still coming, once it is known to be long."""
-        if self.call is not None or self.ready or self.closing or self.penalised or self.parser is None:
+        incoming = self.reader.incoming
+        if incoming is None or not self.reader.has_long_body():
+            return
+        if self.call is not None or self.reader.ready or self.closing or self.penalised:
             return
-        self.keep_alive = self.parser.should_keep_alive()
+        self.keep_alive = self.reader.should_keep_alive()
         self.flowing = incoming
         self._take(incoming)
         if self.call is not None:
@@ -307,8 +227,8 @@
 
     def _next(self) -> None:
         """Take up the next whole request, if there is one and none is under way."""
-        while self.ready and self._is_free():
-            incoming = self.ready.popleft()
+        while self.reader.ready and self._is_free():
+            incoming = self.reader.ready.popleft()
             self.keep_alive = incoming.keep_alive
             if self.owner.is_late() and self._has_ended_writing():
                 self.checked = incoming  # taken once it is known whether anybody waits for its answer
@@ -367,7 +287,7 @@
         if answer.length is not None:
             framing = b"Content-Length: %d" % answer.length
         else:
-            self.chunked = self.parser is not None and self.parser.get_http_version() != "1.0"
+            self.chunked = self.reader.accepts_chunked()
             framing = b"Transfer-Encoding: chunked" if self.chunked else b""
             self.keep_alive = self.keep_alive and self.chunked
         self.unframed = not framing
@@ -438,7 +358,7 @@
     def _head(self, status: int, headers: list[Header], framing: bytes) -> bytes:
         if self.half_closed or self.overflow or self.owner.draining or self.flowing is not None:
             self.keep_alive = False
-        elif self.keep_alive and not self.ready and not self.unread:
+        elif self.keep_alive and not self.reader.ready and not self.unread:
             self.usage.since = self.owner.loop.time()
             self.keep_alive = not self.owner.ends_with_answer(self)
         rest = answer_head(status, headers, framing, self.keep_alive)
@@ -452,26 +372,22 @@
         self.active_at = self.usage.since = self.owner.loop.time()
         if not self.keep_alive:
             self._linger(LINGER_FLOW_S if self.flowing is not None else LINGER_S)
-        elif (self.unread or self.ready or self._flow_waits()) and not self.penalised:
+        elif (self.unread or self.reader.ready or self.reader.has_long_body()) and not self.penalised:
             # Not at once: a client that sends ahead must not keep the others waiting.
             self.owner.loop.call_soon(self._go_on)
 
     def _go_on(self) -> None:
         if not self._is_free():
             return
-        if self.ready:
+        if self.reader.ready:
             self._next()
             return
         data, self.unread = bytes(self.unread), bytearray()
         self.transport.resume_reading()
         if data:
             self._feed(data)
-        elif self.incoming is not None and self._flow_waits():
-            self._begin_flow(self.incoming)
-
-    def _flow_waits(self) -> bool:
-        """Whether a long body has begun to come behind a request; its reading may be paused since."""
-        return self.incoming is not None and self.incoming.flow is not None
+        else:
+            self._take_up_long_body()  # its reading may have been paused behind the request before
 
     def _reject(self, status: int) -> None:
         """Answer what cannot be read any further, and close."""
@@ -484,7 +400,9 @@
 
     def _count_unheard(self) -> None:
         """Enter a request that is answered before it was whole, where it names a class."""
-        grade = self.owner.classes.grades.get(self.incoming.named_class()) if self.incoming else None
+        if self.incoming is None:
+            return
+        grade = self.owner.classes.grades.get(self.incoming.named_class())
         if grade is not None:
             self.engine.account.at_once(grade, End.FAILED)
 
@@ -514,6 +432,15 @@
 
     # Looked after by the listener
 
+    @property
+    def waits_since(self) -> float:
+        return self.reader.deadlines.waits_since
+
+    @property
+    def incoming(self) -> Incoming | None:
+        """The request that is being received."""
+        return self.reader.incoming
+
     def waits_for_request(self) -> bool:
         """Whether nothing of a request has been seen yet."""
         busy = self._has_request() or self.incoming is not None or self.unread
@@ -521,7 +448,7 @@
 
     def _has_request(self) -> bool:
         """Whether a whole request is under way or waits for its turn."""
-        return self.call is not None or self.checked is not None or bool(self.ready)
+        return self.call is not None or self.checked is not None or bool(self.reader.ready)
 
     def is_idle(self) -> bool:
         if not self.waits_for_request():
@@ -532,21 +459,15 @@
         """Whether it only takes up room: silent or slow, or turned away."""
         if self.closing or self._has_request():
             return False
-        return self.penalised or (self.waits_since > 0.0 and now - self.waits_since >= FIRST_S)
+        silent = self.waits_since > 0.0 and now - self.waits_since >= FIRST_S
+        return self.penalised or silent
 
     def _is_overdue(self, now: float) -> bool:
-        incoming = self.incoming
-        if self.waits_since <= 0.0 or self.ready or self.closing:
+        if not self.reader.deadlines.is_waiting() or self.reader.ready or self.closing:
             return False
         if self.call is not None and self.flowing is None:
             return False
-        if incoming is None or self.in_head:
-            return now - self.waits_since > HEAD_S
-        size = incoming.flow.size if incoming.flow is not None else len(incoming.body)
-        earned = size / BODY_RATE
-        if incoming.flow is not None and incoming.flow.paused:  # by this side
-            self.body_at, self.head_at = now, max(self.head_at, now - earned)
-        return now - self.body_at > BODY_PAUSE_S or now - self.head_at > BODY_GRACE_S + earned
+        return self.reader.is_overdue(now)
 
     def look_after(self, now: float) -> None:
         """End what does not go on: a request that is never finished, an answer that is never read."""
--- a/garnethaven/net/owner.py
+++ b/garnethaven/net/owner.py
@@ -17,7 +17,10 @@
 
     sock: socket.socket
     usage: Usage
-    waits_since: float  # since when a whole request has been due; 0: none is
+
+    @property
+    def waits_since(self) -> float:
+        """Since when a whole request has been due; 0 where none is."""
 
     def waits_for_request(self) -> bool:
         """Whether nothing of a request has been received yet."""
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -11,7 +11,7 @@
 import pytest
 
 from garnethaven.engine.account import End
-from garnethaven.net import client
+from garnethaven.net import request_deadlines
 from garnethaven.net.flow import FLOW_COST, KEPT, RECEIVE_BUFFER
 from tests.loopback import ANSWER, Sidecar, request, run, running, says, until
 
@@ -296,8 +296,8 @@
 def test_a_body_that_trickles_is_ended_and_its_endpoint_let_go(
     size: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(client, "BODY_GRACE_S", 0.4)
-    monkeypatch.setattr(client, "BODY_RATE", 10 * MB)
+    monkeypatch.setattr(request_deadlines, "BODY_GRACE_S", 0.4)
+    monkeypatch.setattr(request_deadlines, "BODY_RATE", 10 * MB)
 
     async def case() -> None:
         sidecar, (server,) = await before(reads)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,8 +18,8 @@
 import pytest
 
 from garnethaven.config import ConfigError, read_config
-from garnethaven.net import client, upstream
 from garnethaven.net import listener as listening
+from garnethaven.net import request_deadlines, upstream
 from standins.ports import PORTS
 from tests.loopback import (
     ANSWER,
@@ -100,7 +100,7 @@
     start: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     for name in ("HEAD_S", "BODY_PAUSE_S"):
-        monkeypatch.setattr(client, name, 0.1)
+        monkeypatch.setattr(request_deadlines, name, 0.1)
 
     async def case() -> None:
         async with running(says(ANSWER)) as (sidecar, _):
@@ -480,7 +480,7 @@
 
 def test_a_fault_at_one_connection_does_not_end_the_sweep(monkeypatch: pytest.MonkeyPatch) -> None:
     for name in ("HEAD_S", "BODY_PAUSE_S"):
-        monkeypatch.setattr(client, name, 0.1)
+        monkeypatch.setattr(request_deadlines, name, 0.1)
 
     async def case() -> None:
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
