Move the writing of answers out of the client's connection

What has been written of an answer was kept in three flags of the connection (version_sent, chunked, unframed), of which the last two could not both be true. ResponseWriter keeps the version that was sent ahead and one BodyFraming; whether a connection goes on behind its answer stays with the connection, for it depends on all of its state.

No behaviour changes: heads are the same bytes in the same writes.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -10,13 +10,13 @@
 from garnethaven.engine.calls import Call
 from garnethaven.engine.engine import MS
 from garnethaven.limits.places import FIRST_S, Usage
-from garnethaven.net.answers import VERSION, answer_head
 from garnethaven.net.exchange import Answer, Header
-from garnethaven.net.flow import BODY_MOST, FLOW_COST, LAST_CHUNK, STALL_S, chunk
+from garnethaven.net.flow import BODY_MOST, FLOW_COST, STALL_S
 from garnethaven.net.owner import Owner
 from garnethaven.net.presence import has_ended_writing, has_unread, is_reset, reset_at_close
 from garnethaven.net.request_reader import RequestReader, UnreadableRequest
 from garnethaven.net.requests import Incoming, Wanted, wanted
+from garnethaven.net.response_writer import BodyFraming, ResponseWriter, framing_of
 from garnethaven.net.transport import HttpAttempt, HttpRequest
 
 HEARS_FIRST_S = 0.02  # seconds: some rounds of the loop
@@ -50,11 +50,8 @@
         self.flowing: Incoming | None = None  # the request under way, while its body still comes
         self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
         self.flow_cost = 0  # taken from the budget for bodies
-        self.chunked = False
-        self.unframed = False  # the answer that is passed on is as long as the connection lasts
         self.keep_alive = True
         self.half_closed = False
-        self.version_sent = False
         self.closing = False
         self.linger: asyncio.TimerHandle | None = None
         self.swallowed = 0
@@ -68,6 +65,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own, of no common class
+        self.writer = ResponseWriter(self.transport)
         self.owner.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -114,9 +112,8 @@
 
     def _half_closes(self) -> None:
         self.half_closed = True
-        if not self.version_sent and not self.transport.is_closing():
-            self.version_sent = True
-            self.transport.write(VERSION)
+        if not self.writer.version_sent and not self.transport.is_closing():
+            self.writer.write_version()
             self.owner.loop.call_later(HALF_CLOSED_CHECK_S, self._check_gone)
 
     def _check_gone(self) -> None:
@@ -284,29 +281,24 @@
         """The first part of an answer too long to be held; from here on it goes to the client as it comes."""
         self.passing = attempt
         self._takes_memory()
-        if answer.length is not None:
-            framing = b"Content-Length: %d" % answer.length
-        else:
-            self.chunked = self.reader.accepts_chunked()
-            framing = b"Transfer-Encoding: chunked" if self.chunked else b""
-            self.keep_alive = self.keep_alive and self.chunked
-        self.unframed = not framing
-        self.transport.write(self._head(200, answer.headers, framing))
+        framing = framing_of(answer.length, self.reader.accepts_chunked())
+        if framing is BodyFraming.UNTIL_CLOSE:
+            self.keep_alive = False
+        self.writer.begin_body(answer.headers, framing, answer.length, self._stays_open())
 
     def more(self, data: bytes) -> None:
         if not self.transport.is_closing():
-            self.transport.write(chunk(data) if self.chunked else data)
+            self.writer.write_body(data)
 
     def ended(self) -> None:
         if not self.transport.is_closing():
-            if self.chunked:
-                self.transport.write(LAST_CHUNK)
+            self.writer.end_body()
             self._answered()
 
     def broke(self) -> None:
         """The rest of an answer will not come: the client can tell, for no end of it is written."""
         self.call = None
-        if self.unframed:
+        if self.writer.framing is BodyFraming.UNTIL_CLOSE:
             # Only a reset tells a client of an answer that is as long as the connection lasts.
             reset_at_close(self.sock)
         self.transport.abort()
@@ -351,24 +343,23 @@
         if self.passing is not None:
             self.broke()
             return
-        head = self._head(status, headers, b"Content-Length: %d" % len(body))
-        self.transport.write(head + body)
+        self.writer.write_answer(status, headers, body, self._stays_open())
         self._answered()
 
-    def _head(self, status: int, headers: list[Header], framing: bytes) -> bytes:
+    def _stays_open(self) -> bool:
+        """Decide whether the connection goes on behind the answer that is about to be written."""
         if self.half_closed or self.overflow or self.owner.draining or self.flowing is not None:
             self.keep_alive = False
         elif self.keep_alive and not self.reader.ready and not self.unread:
             self.usage.since = self.owner.loop.time()
             self.keep_alive = not self.owner.ends_with_answer(self)
-        rest = answer_head(status, headers, framing, self.keep_alive)
-        return rest if self.version_sent else VERSION + rest
+        return self.keep_alive
 
     def _answered(self) -> None:
         self.call = self.passing = None
         if self.flow_cost:
             self._gives_memory_back()
-        self.version_sent = self.chunked = False
+        self.writer.answer_ended()
         self.active_at = self.usage.since = self.owner.loop.time()
         if not self.keep_alive:
             self._linger(LINGER_FLOW_S if self.flowing is not None else LINGER_S)
