Move the client's presence and the lingering close out of its connection

Whether a client has left (client_presence.py) and how a connection ends without a reset (lingering_close.py) each have state and a timer of their own; they stood among the connection's other flags. Both act on the transport alone. The connection hands in the check that follows a half-close at each call, for a stored one would be a reference cycle.

No behaviour changes.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -10,10 +10,12 @@
 from garnethaven.engine.calls import Call
 from garnethaven.engine.engine import MS
 from garnethaven.limits.places import FIRST_S, Usage
+from garnethaven.net.client_presence import ClientPresence
 from garnethaven.net.exchange import Answer, Header
 from garnethaven.net.flow import BODY_MOST, FLOW_COST, STALL_S
+from garnethaven.net.lingering_close import LINGER_BYTES, LINGER_FLOW_S, LINGER_S, LingeringClose
 from garnethaven.net.owner import Owner
-from garnethaven.net.presence import has_ended_writing, has_unread, is_reset, reset_at_close
+from garnethaven.net.presence import has_unread, reset_at_close
 from garnethaven.net.request_reader import RequestReader, UnreadableRequest
 from garnethaven.net.requests import Incoming, Wanted, wanted
 from garnethaven.net.response_writer import BodyFraming, ResponseWriter, framing_of
@@ -25,14 +27,6 @@
 # client that sends the same again at once would take the time of all others. The answer itself is not
 # held. Closing instead would have it connect anew, which costs more.
 PENALTY_S = 0.2
-# A lingering close: this side's writing ends, what still comes is read and dropped, and the connection goes
-# with the client's own end, or after so long. Bytes that nobody reads would make the close a reset, which may
-# cost the client its last answer; nothing read after the end is sent on. It would do harm only by its
-# descriptors, so that it ends at once where places are short.
-LINGER_S = 0.5
-LINGER_BYTES = 256 * 1024
-LINGER_FLOW_S = 6.0  # the same for a long body, whose client may read only once it has written all
-HALF_CLOSED_CHECK_S = 0.005  # the client is on this machine: a reset is back at once
 
 
 class ClientConnection(asyncio.Protocol):
@@ -51,10 +45,7 @@
         self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
         self.flow_cost = 0  # taken from the budget for bodies
         self.keep_alive = True
-        self.half_closed = False
         self.closing = False
-        self.linger: asyncio.TimerHandle | None = None
-        self.swallowed = 0
         self.penalised = False
         self.active_at = owner.loop.time()
         self.usage = Usage(self.active_at)
@@ -66,6 +57,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own, of no common class
         self.writer = ResponseWriter(self.transport)
+        self.presence = ClientPresence(self.sock, self.transport, self.writer, self.owner.loop)
+        self.lingering_close = LingeringClose(self.transport, self.owner)
         self.owner.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -85,9 +78,8 @@
 
     def _read(self, data: bytes) -> None:
         if self.closing:
-            self.swallowed += len(data)
-            if self.swallowed > (BODY_MOST if self.flowing is not None else LINGER_BYTES):
-                self.transport.abort()
+            most = BODY_MOST if self.flowing is not None else LINGER_BYTES
+            self.lingering_close.swallow(len(data), most)
         elif self.flowing is not None:
             self._feed(data)
         elif self._has_request() or self.penalised:
@@ -98,24 +90,14 @@
             self._feed(data)
 
     def eof_received(self) -> bool:
-        """The client writes no more; it may still read.
-
-        Whether it has gone away altogether shows only when something is written to it. Every answer
-        begins alike, so its beginning is sent now: a client that is gone answers with a reset.
-        """
+        """The client writes no more; it may still read."""
         if self.early:
             self._read_early()
         if (self.call is None and self.checked is None) or self.closing or self.flowing is not None:
             return False
-        self._half_closes()
+        self.presence.half_close(self._check_gone)
         return True
 
-    def _half_closes(self) -> None:
-        self.half_closed = True
-        if not self.writer.version_sent and not self.transport.is_closing():
-            self.writer.write_version()
-            self.owner.loop.call_later(HALF_CLOSED_CHECK_S, self._check_gone)
-
     def _check_gone(self) -> None:
         if (self.call is not None or self.checked is not None) and not self.has_left():
             incoming, self.checked = self.checked, None
@@ -123,30 +105,12 @@
                 self._take(incoming)
 
     def has_left(self) -> bool:
-        """Whether the client is known to have gone; asked before anything more is sent for it.
-
-        Its end may lie unread in the kernel, where this process stood still or does not read just now. A
-        client that has only ended its writing still reads: that shows by what is written to it.
-        """
-        if not self.half_closed and self._has_ended_writing():
-            self._half_closes()
-        if not self.transport.is_closing() and is_reset(self.sock):
-            self.transport.abort()
-        return self.transport.is_closing()
-
-    def _has_ended_writing(self) -> bool:
-        if self.transport.is_closing():
-            return True
-        try:
-            return has_ended_writing(self.sock)
-        except OSError:  # a reset
-            self.transport.abort()
-            return True
+        """Whether the client is known to have gone; asked before anything more is sent for it."""
+        return self.presence.has_left(self._check_gone)
 
     def connection_lost(self, problem: Exception | None) -> None:
         self.closing = True
-        if self.linger is not None:
-            self.linger.cancel()
+        self.lingering_close.cancel()
         self.flowing = self.passing = self.checked = None
         self._gives_memory_back()
         self.reader.close()
@@ -227,9 +191,9 @@
         while self.reader.ready and self._is_free():
             incoming = self.reader.ready.popleft()
             self.keep_alive = incoming.keep_alive
-            if self.owner.is_late() and self._has_ended_writing():
+            if self.owner.is_late() and self.presence.has_ended_writing():
                 self.checked = incoming  # taken once it is known whether anybody waits for its answer
-                self._half_closes()
+                self.presence.half_close(self._check_gone)
             else:
                 self._take(incoming)
 
@@ -406,20 +370,7 @@
             self.transport.close()  # it has ended: nothing can come
             return
         self.owner.lingers(self)
-        self.transport.resume_reading()
-        self.transport.write_eof()
-        self._linger_for(most_s)
-
-    def _linger_for(self, most_s: float) -> None:
-        until = min(self.owner.loop.time() + most_s, self.owner.lingers_until)
-        self.linger = self.owner.loop.call_at(until, self._end_linger)
-
-    def _end_linger(self) -> None:
-        """Close, unless the client still takes its answer; one that stops is ended by `look_after`."""
-        if self.transport.get_write_buffer_size() and self.owner.loop.time() < self.owner.lingers_until:
-            self._linger_for(LINGER_S)
-        else:
-            self.transport.abort()
+        self.lingering_close.begin(most_s)
 
     # Looked after by the listener
 
@@ -432,6 +383,11 @@
         """The request that is being received."""
         return self.reader.incoming
 
+    @property
+    def half_closed(self) -> bool:
+        """Whether the client has ended its writing."""
+        return self.presence.half_closed
+
     def waits_for_request(self) -> bool:
         """Whether nothing of a request has been seen yet."""
         busy = self._has_request() or self.incoming is not None or self.unread
