Move call making, local paths and the memory of long bodies out of the client's connection

Three more jobs that need nothing of the connection: the engine's call of a request (call_making.py), the paths that are answered here (local_paths.py) and the part of the memory that a long body takes (body_memory.py). net/client.py is left with one: to lead a connection through its requests.

No behaviour changes.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -8,18 +8,20 @@
 
 from garnethaven.engine.account import End
 from garnethaven.engine.calls import Call
-from garnethaven.engine.engine import MS
 from garnethaven.limits.places import FIRST_S, Usage
+from garnethaven.net.body_memory import BodyReservation
+from garnethaven.net.call_making import call_of
 from garnethaven.net.client_presence import ClientPresence
 from garnethaven.net.exchange import Answer, Header
-from garnethaven.net.flow import BODY_MOST, FLOW_COST, STALL_S
+from garnethaven.net.flow import BODY_MOST, STALL_S
 from garnethaven.net.lingering_close import LINGER_BYTES, LINGER_FLOW_S, LINGER_S, LingeringClose
+from garnethaven.net.local_paths import local_status
 from garnethaven.net.owner import Owner
 from garnethaven.net.presence import has_unread, reset_at_close
 from garnethaven.net.request_reader import RequestReader, UnreadableRequest
 from garnethaven.net.requests import Incoming, Wanted, wanted
 from garnethaven.net.response_writer import BodyFraming, ResponseWriter, framing_of
-from garnethaven.net.transport import HttpAttempt, HttpRequest
+from garnethaven.net.transport import HttpAttempt
 
 HEARS_FIRST_S = 0.02  # seconds: some rounds of the loop
 PIPELINED_LIMIT = 64 * 1024
@@ -43,7 +45,7 @@
         self.call: Call | None = None
         self.flowing: Incoming | None = None  # the request under way, while its body still comes
         self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
-        self.flow_cost = 0  # taken from the budget for bodies
+        self.body_memory = BodyReservation(owner.transport.pool.memory)
         self.keep_alive = True
         self.closing = False
         self.penalised = False
@@ -112,7 +114,7 @@
         self.closing = True
         self.lingering_close.cancel()
         self.flowing = self.passing = self.checked = None
-        self._gives_memory_back()
+        self.body_memory.release()
         self.reader.close()
         call, self.call = self.call, None
         if call is not None:
@@ -159,16 +161,7 @@
         self.flowing = incoming
         self._take(incoming)
         if self.call is not None:
-            self._takes_memory()
-
-    def _takes_memory(self) -> None:
-        if not self.flow_cost:
-            self.flow_cost = FLOW_COST
-            self.owner.transport.pool.memory.grows(FLOW_COST)
-
-    def _gives_memory_back(self) -> None:
-        self.owner.transport.pool.memory.shrinks(self.flow_cost)
-        self.flow_cost = 0
+            self.body_memory.take()
 
     def pause_reading(self) -> None:
         if not self.transport.is_closing():
@@ -206,35 +199,26 @@
         if incoming.status:
             self._turn_away(incoming.status)
             return
-        path = incoming.url.partition(b"?")[0]
-        if path.startswith(b"/-/"):
-            ready = path == b"/-/ready"
-            self._say(404 if not ready else 503 if self.owner.draining else 200)
+        status = local_status(incoming.url, self.owner.draining)
+        if status is not None:
+            self._say(status)
             return
         want = wanted(incoming, self.owner.classes)
         if want is None:
             self._turn_away(400)
-        elif self.overflow or (self.flowing is not None and self.owner.transport.pool.memory.full()):
+            return
+        self._begin_call(incoming, want)
+
+    def _begin_call(self, incoming: Incoming, want: Wanted) -> None:
+        if self.overflow or (self.flowing is not None and not self.body_memory.can_be_had()):
             self.engine.account.at_once(want.grade, End.REFUSED)
             self._say(503)
-        else:
-            self.call = call = self._call(incoming, want)
-            if not self.engine.take(call):
-                self.call = None
-                self.engine.account.at_once(want.grade, End.FAILED)
-                self._turn_away(409)
-
-    def _call(self, incoming: Incoming, want: Wanted) -> Call:
-        request = HttpRequest(self, want.head, incoming.flow or incoming.body)
-        call = Call(self, want.call_id, self.owner.transport, request)
-        call.grade = want.grade
-        # No client waits longer than its class does; a larger figure would only hold memory.
-        call.budget = min(want.budget_ms * MS, self.engine.settings.grades[want.grade].deadline)
-        call.caller, call.tenant = want.caller, want.tenant
-        call.key, call.repeat = want.key, want.again
-        call.dedup_key = want.dedup_key
-        call.coming = incoming.flow is not None and not incoming.flow.whole
-        return call
+            return
+        self.call = call_of(self, incoming, want, self.owner.transport, self.engine.settings)
+        if not self.engine.take(self.call):
+            self.call = None
+            self.engine.account.at_once(want.grade, End.FAILED)
+            self._turn_away(409)
 
     # Answering: the engine's side of a call
 
@@ -244,7 +228,7 @@
     def began(self, attempt: HttpAttempt, answer: Answer) -> None:
         """The first part of an answer too long to be held; from here on it goes to the client as it comes."""
         self.passing = attempt
-        self._takes_memory()
+        self.body_memory.take()
         framing = framing_of(answer.length, self.reader.accepts_chunked())
         if framing is BodyFraming.UNTIL_CLOSE:
             self.keep_alive = False
@@ -321,8 +305,7 @@
 
     def _answered(self) -> None:
         self.call = self.passing = None
-        if self.flow_cost:
-            self._gives_memory_back()
+        self.body_memory.release()
         self.writer.answer_ended()
         self.active_at = self.usage.since = self.owner.loop.time()
         if not self.keep_alive:
