Rename the parsed head of a request by the terms of the field

Wanted is RequestHead, Incoming is IncomingRequest, a grade is a request class within net/, x-again is read as is_retry, and bounds are MAX_...; the engine's and the settings' names stay as they are. Nothing else changes.

--- a/garnethaven/net/answers.py
+++ b/garnethaven/net/answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from garnethaven.net.exchange import Header
-from garnethaven.net.requests import NOT_PASSED_ON
+from garnethaven.net.requests import DROPPED_HEADERS
 
 PHRASES = {
     200: b"OK",
@@ -26,7 +26,7 @@
     """All of it behind the version, which may have been sent before."""
     parts = [b"%d " % status, PHRASES[status], b"\r\n"]
     for name, value in headers:
-        if name.lower() not in NOT_PASSED_ON:
+        if name.lower() not in DROPPED_HEADERS:
             parts += (name, b": ", value, b"\r\n")
     if not keep_alive:
         parts.append(b"Connection: close\r\n")
--- a/garnethaven/net/call_making.py
+++ b/garnethaven/net/call_making.py
@@ -7,7 +7,7 @@
 from garnethaven.engine.calls import Call, Client
 from garnethaven.engine.engine import MS
 from garnethaven.interface import Settings
-from garnethaven.net.requests import Incoming, Wanted
+from garnethaven.net.requests import IncomingRequest, RequestHead
 from garnethaven.net.transport import HttpRequest, HttpTransport, Served
 
 
@@ -16,18 +16,22 @@
 
 
 def call_of(
-    client: HttpClient, incoming: Incoming, want: Wanted, transport: HttpTransport, settings: Settings
+    client: HttpClient,
+    incoming: IncomingRequest,
+    head: RequestHead,
+    transport: HttpTransport,
+    settings: Settings,
 ) -> Call:
     """The call of a request whose head has been read; its body may still come."""
-    request = HttpRequest(client, want.head, incoming.flow or incoming.body)
-    call = Call(client, want.call_id, transport, request)
-    call.grade = want.grade
+    request = HttpRequest(client, head.forwarded, incoming.flow or incoming.body)
+    call = Call(client, head.call_id, transport, request)
+    call.grade = head.request_class
     # No client waits longer than its class does; a larger figure would only hold memory.
-    call.budget = min(want.budget_ms * MS, settings.grades[want.grade].deadline)
-    call.caller = want.caller
-    call.tenant = want.tenant
-    call.key = want.key
-    call.repeat = want.again
-    call.dedup_key = want.dedup_key
+    call.budget = min(head.budget_ms * MS, settings.grades[head.request_class].deadline)
+    call.caller = head.caller
+    call.tenant = head.tenant
+    call.key = head.key
+    call.repeat = head.is_retry
+    call.dedup_key = head.dedup_key
     call.coming = incoming.flow is not None and not incoming.flow.whole
     return call
--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -19,12 +19,12 @@
 from garnethaven.net.owner import Owner
 from garnethaven.net.presence import has_unread, reset_at_close
 from garnethaven.net.request_reader import RequestReader, UnreadableRequest
-from garnethaven.net.requests import Incoming, Wanted, wanted
+from garnethaven.net.requests import IncomingRequest, RequestHead, head_of
 from garnethaven.net.response_writer import BodyFraming, ResponseWriter, framing_of
 from garnethaven.net.transport import HttpAttempt
 
 HEARS_FIRST_S = 0.02  # seconds: some rounds of the loop
-PIPELINED_LIMIT = 64 * 1024
+MAX_UNREAD_BYTES = 64 * 1024
 # After a request that no endpoint may see the next one on its connection is not read for a while: a
 # client that sends the same again at once would take the time of all others. The answer itself is not
 # held. Closing instead would have it connect anew, which costs more.
@@ -41,9 +41,9 @@
         self.overflow = overflow
         self.early = bytearray()  # came as the process woke, and waits for discovery's news
         self.unread = bytearray()  # what came while a request was under way
-        self.checked: Incoming | None = None  # whose client has ended its writing and may have gone
+        self.checked: IncomingRequest | None = None  # whose client has ended its writing and may have gone
         self.call: Call | None = None
-        self.flowing: Incoming | None = None  # the request under way, while its body still comes
+        self.flowing: IncomingRequest | None = None  # the request under way, while its body still comes
         self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
         self.body_memory = BodyReservation(owner.transport.pool.memory)
         self.keep_alive = True
@@ -86,7 +86,7 @@
             self._feed(data)
         elif self._has_request() or self.penalised:
             self.unread += data
-            if len(self.unread) > PIPELINED_LIMIT:
+            if len(self.unread) > MAX_UNREAD_BYTES:
                 self.transport.pause_reading()
         else:
             self._feed(data)
@@ -137,7 +137,7 @@
     def continue_expected(self) -> None:
         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def request_completed(self, incoming: Incoming) -> None:
+    def request_completed(self, incoming: IncomingRequest) -> None:
         self.owner.request_received(self.usage, self.active_at)
         if incoming.flow is not None:
             incoming.flow.end()
@@ -195,7 +195,7 @@
         free = self.call is None and self.checked is None
         return free and not self.closing and not self.penalised and not self.transport.is_closing()
 
-    def _take(self, incoming: Incoming) -> None:
+    def _take(self, incoming: IncomingRequest) -> None:
         if incoming.status:
             self._turn_away(incoming.status)
             return
@@ -203,21 +203,21 @@
         if status is not None:
             self._say(status)
             return
-        want = wanted(incoming, self.owner.classes)
-        if want is None:
+        head = head_of(incoming, self.owner.classes)
+        if head is None:
             self._turn_away(400)
             return
-        self._begin_call(incoming, want)
+        self._begin_call(incoming, head)
 
-    def _begin_call(self, incoming: Incoming, want: Wanted) -> None:
+    def _begin_call(self, incoming: IncomingRequest, head: RequestHead) -> None:
         if self.overflow or (self.flowing is not None and not self.body_memory.can_be_had()):
-            self.engine.account.at_once(want.grade, End.REFUSED)
+            self.engine.account.at_once(head.request_class, End.REFUSED)
             self._say(503)
             return
-        self.call = call_of(self, incoming, want, self.owner.transport, self.engine.settings)
+        self.call = call_of(self, incoming, head, self.owner.transport, self.engine.settings)
         if not self.engine.take(self.call):
             self.call = None
-            self.engine.account.at_once(want.grade, End.FAILED)
+            self.engine.account.at_once(head.request_class, End.FAILED)
             self._turn_away(409)
 
     # Answering: the engine's side of a call
@@ -340,9 +340,9 @@
         """Enter a request that is answered before it was whole, where it names a class."""
         if self.incoming is None:
             return
-        grade = self.owner.classes.grades.get(self.incoming.named_class())
-        if grade is not None:
-            self.engine.account.at_once(grade, End.FAILED)
+        request_class = self.owner.classes.grades.get(self.incoming.class_name())
+        if request_class is not None:
+            self.engine.account.at_once(request_class, End.FAILED)
 
     def _linger(self, most_s: float) -> None:
         """End this side's writing, and the connection once the client has ended its own."""
@@ -362,7 +362,7 @@
         return self.reader.deadlines.waits_since
 
     @property
-    def incoming(self) -> Incoming | None:
+    def incoming(self) -> IncomingRequest | None:
         """The request that is being received."""
         return self.reader.incoming
 
--- a/garnethaven/net/request_reader.py
+++ b/garnethaven/net/request_reader.py
@@ -9,9 +9,9 @@
 
 from garnethaven.net.flow import BODY_MOST, HELD_LIMIT, Body, Source
 from garnethaven.net.request_deadlines import RequestDeadlines
-from garnethaven.net.requests import HEAD_LIMIT, HEADERS_MOST, Incoming
+from garnethaven.net.requests import MAX_HEAD_BYTES, MAX_HEADERS, IncomingRequest
 
-PIPELINED_MOST = 16  # whole requests that may wait behind one; clients send one at a time
+MAX_PIPELINED_REQUESTS = 16  # whole requests that may wait behind one; clients send one at a time
 
 
 class UnreadableRequest(Exception):  # noqa: N818  the client's fault, answered as any other request
@@ -28,7 +28,7 @@
     def continue_expected(self) -> None:
         """The client sends the body once it has been told to go on."""
 
-    def request_completed(self, incoming: Incoming) -> None:
+    def request_completed(self, incoming: IncomingRequest) -> None:
         """The last byte of a request has come."""
 
 
@@ -41,8 +41,8 @@
     def __init__(self, handler: RequestHandler, now: float) -> None:
         self.handler: RequestHandler | None = handler
         self.parser: HttpRequestParser | None = HttpRequestParser(self)
-        self.incoming: Incoming | None = None  # the request that is being received
-        self.ready: deque[Incoming] = deque()  # completed ones that nobody has taken up, in turn
+        self.incoming: IncomingRequest | None = None  # the request that is being received
+        self.ready: deque[IncomingRequest] = deque()  # completed ones that nobody has taken up, in turn
         self.deadlines = RequestDeadlines(now)
         self.now = now  # when what is being parsed came
         self.in_head = False
@@ -83,11 +83,11 @@
         return b""
 
     def _check_limits(self) -> None:
-        if self.in_head and self.head_size > HEAD_LIMIT:
+        if self.in_head and self.head_size > MAX_HEAD_BYTES:
             raise UnreadableRequest(431)
         if self.incoming is not None and self.incoming.status and not self.ready:
             raise UnreadableRequest(self.incoming.status)  # the rest of it need not be read
-        if len(self.ready) > PIPELINED_MOST:
+        if len(self.ready) > MAX_PIPELINED_REQUESTS:
             raise UnreadableRequest(400)
 
     def has_long_body(self) -> bool:
@@ -113,7 +113,7 @@
     # The parser's callbacks
 
     def on_message_begin(self) -> None:
-        self.incoming = Incoming()
+        self.incoming = IncomingRequest()
         self.in_head = True
         self.deadlines.expect_request(self.now)
 
@@ -123,7 +123,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self.incoming is not None
-        if len(self.incoming.headers) < HEADERS_MOST:
+        if len(self.incoming.headers) < MAX_HEADERS:
             self.incoming.headers.append((name, value.rstrip()))  # the parser leaves white space there
         else:
             self.incoming.status = 431
@@ -132,7 +132,7 @@
         assert self.incoming is not None and self.parser is not None and self.handler is not None
         self.in_head = False
         self.deadlines.head_received(self.now)
-        expects = self.incoming.head_ends(self.parser.get_method(), self.head_size)
+        expects = self.incoming.complete_head(self.parser.get_method(), self.head_size)
         self.head_size = 0
         if expects:
             self.handler.continue_expected()
@@ -152,7 +152,7 @@
         if incoming.flow.size > BODY_MOST:
             incoming.status = 413
 
-    def _begin_flow(self, incoming: Incoming) -> None:
+    def _begin_flow(self, incoming: IncomingRequest) -> None:
         """Pass the body on as it comes from here on."""
         assert self.handler is not None
         incoming.flow = Body(self.handler, incoming.length)
--- a/garnethaven/net/requests.py
+++ b/garnethaven/net/requests.py
@@ -8,18 +8,18 @@
 from garnethaven.net.exchange import Header
 from garnethaven.net.flow import BODY_MOST, Body
 
-HEAD_LIMIT = 32 * 1024
-HEADERS_MOST = 128
+MAX_HEAD_BYTES = 32 * 1024
+MAX_HEADERS = 128
 # Hop by hop, or said anew by this side.
-NOT_PASSED_ON = frozenset(
+DROPPED_HEADERS = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length"
     b" x-budget-ms proxy-authenticate proxy-authorization x-load-report".split()
 )
 # What a `Connection` header can't take away: endpoints know a request and its repeats by these.
-PASSED_ON = frozenset(b"host x-call-id x-call-class x-caller idempotency-key".split())
+KEPT_HEADERS = frozenset(b"host x-call-id x-call-class x-caller idempotency-key".split())
 
 
-class Incoming:
+class IncomingRequest:
     """A request while it is read."""
 
     __slots__ = ("body", "flow", "headers", "keep_alive", "length", "method", "status", "url")
@@ -34,11 +34,11 @@
         self.keep_alive = False
         self.status = 0  # what is wrong with it, as far as it can be told before its end
 
-    def head_ends(self, method: bytes, head_size: int) -> bool:
+    def complete_head(self, method: bytes, head_size: int) -> bool:
         """Judge the head; True where the client waits for a word before it sends the body."""
         self.method = method
         self.url = origin_form(self.url)
-        if head_size > HEAD_LIMIT and self.head_length() > HEAD_LIMIT:
+        if head_size > MAX_HEAD_BYTES and self.head_bytes() > MAX_HEAD_BYTES:
             self.status = 431
         expects = False
         for name, value in self.headers:
@@ -53,10 +53,10 @@
             self.status = 413
         return expects and not self.status
 
-    def head_length(self) -> int:
+    def head_bytes(self) -> int:
         return len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
 
-    def named_class(self) -> str:
+    def class_name(self) -> str:
         return next((value for name, value in self.headers if name.lower() == b"x-call-class"), b"").decode(
             "latin-1"
         )
@@ -72,30 +72,30 @@
 
 
 @dataclass(slots=True)
-class Wanted:
+class RequestHead:
     """What a request asks for, as far as the engine wants to know it, and the head that goes on."""
 
     call_id: bytes
-    grade: int
+    request_class: int
     budget_ms: int
     caller: int
     tenant: str
     key: str
     dedup_key: bytes
-    again: bool
-    head: tuple[bytes, bytes]  # around the value of X-Budget-Ms
+    is_retry: bool
+    forwarded: tuple[bytes, bytes]  # around the value of X-Budget-Ms
 
 
-def wanted(incoming: Incoming, classes: Classes) -> Wanted | None:
+def head_of(incoming: IncomingRequest, classes: Classes) -> RequestHead | None:
     """What a request asks for, or None where it lacks what every call has.
 
     What names a class that the settings don't have is no request of the application: endpoints can't use it
     either, and would be blamed for turning it away.
     """
-    call_id = grade = caller = idempotency = budget = b""
-    again = False
-    passed_on = [incoming.method, b" ", incoming.url, b" HTTP/1.1\r\n"]
-    dropped = NOT_PASSED_ON
+    call_id = class_name = caller = idempotency = budget = b""
+    is_retry = False
+    forwarded = [incoming.method, b" ", incoming.url, b" HTTP/1.1\r\n"]
+    dropped = DROPPED_HEADERS
     for name, value in incoming.headers:
         lower = name.lower()
         if lower == b"x-call-id":
@@ -103,7 +103,7 @@
                 return None
             call_id = value
         elif lower == b"x-call-class":
-            grade = value
+            class_name = value
         elif lower == b"x-caller":
             caller = value
         elif lower == b"x-budget-ms":
@@ -111,33 +111,33 @@
         elif lower == b"idempotency-key":
             idempotency = value
         elif lower == b"x-again":
-            again = value == b"1"
+            is_retry = value == b"1"
         elif lower == b"connection" and value.lower() not in (b"keep-alive", b"close"):
-            dropped = dropped | {part.strip() for part in value.lower().split(b",")} - PASSED_ON
+            dropped = dropped | {part.strip() for part in value.lower().split(b",")} - KEPT_HEADERS
         if lower not in dropped:
-            passed_on += (name, b": ", value, b"\r\n")
+            forwarded += (name, b": ", value, b"\r\n")
     if not call_id or not budget.isdigit() or len(budget) > 12 or not int(budget):
         return None
-    index = classes.grade_of(grade.decode("latin-1"), bool(idempotency))
-    if index is None:
+    request_class = classes.grade_of(class_name.decode("latin-1"), bool(idempotency))
+    if request_class is None:
         return None
-    passed_on.append(_framing(incoming))
-    passed_on.append(b"X-Budget-Ms: ")
+    forwarded.append(_framing(incoming))
+    forwarded.append(b"X-Budget-Ms: ")
     tenant = caller.decode("latin-1")
-    return Wanted(
+    return RequestHead(
         call_id,
-        index,
+        request_class,
         int(budget),
         classes.tenant_of(tenant),
         tenant,
         key_of(incoming.url.partition(b"?")[2]),
         idempotency,
-        again,
-        (b"".join(passed_on), b"\r\n\r\n"),
+        is_retry,
+        (b"".join(forwarded), b"\r\n\r\n"),
     )
 
 
-def _framing(incoming: Incoming) -> bytes:
+def _framing(incoming: IncomingRequest) -> bytes:
     if incoming.flow is not None and incoming.flow.length is None:
         return b"Transfer-Encoding: chunked\r\n"
     length = incoming.flow.length if incoming.flow is not None else len(incoming.body)
