Rename the state and the steps of a client's connection by what they do

_take, _say, _turn_away, _go_on and the like, and flags such as early, checked, flowing and passing, needed the code behind them to be understood. Nothing else changes; a test waits for streamed_answer, which was passing, and no assertion changes.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -23,7 +23,7 @@
 from garnethaven.net.response_writer import BodyFraming, ResponseWriter, framing_of
 from garnethaven.net.transport import HttpAttempt
 
-HEARS_FIRST_S = 0.02  # seconds: some rounds of the loop
+DEFERRED_READ_S = 0.02  # seconds: some rounds of the loop
 MAX_UNREAD_BYTES = 64 * 1024
 # After a request that no endpoint may see the next one on its connection is not read for a while: a
 # client that sends the same again at once would take the time of all others. The answer itself is not
@@ -34,17 +34,17 @@
 class ClientConnection(asyncio.Protocol):
     """One connection of the application: one request at a time, answered in turn."""
 
-    def __init__(self, owner: Owner, sock: socket.socket, overflow: bool) -> None:
+    def __init__(self, owner: Owner, sock: socket.socket, over_limit: bool) -> None:
         self.owner = owner
         self.engine = owner.engine
         self.sock = sock
-        self.overflow = overflow
-        self.early = bytearray()  # came as the process woke, and waits for discovery's news
+        self.over_limit = over_limit
+        self.deferred = bytearray()  # came as the process woke, and waits for discovery's news
         self.unread = bytearray()  # what came while a request was under way
-        self.checked: IncomingRequest | None = None  # whose client has ended its writing and may have gone
+        self.unconfirmed: IncomingRequest | None = None  # its client may have gone
         self.call: Call | None = None
-        self.flowing: IncomingRequest | None = None  # the request under way, while its body still comes
-        self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
+        self.streamed_request: IncomingRequest | None = None  # under way, its body still comes
+        self.streamed_answer: HttpAttempt | None = None  # whose answer goes to the client as it comes
         self.body_memory = BodyReservation(owner.transport.pool.memory)
         self.keep_alive = True
         self.closing = False
@@ -65,46 +65,50 @@
 
     def data_received(self, data: bytes) -> None:
         self.active_at = self.owner.loop.time()
-        if self.early or self.owner.hears_first(self.active_at):
-            if not self.early:
-                self.owner.loop.call_later(HEARS_FIRST_S, self._read_early)
-            self.early += data
+        if self.deferred or self.owner.defers_reading(self.active_at):
+            if not self.deferred:
+                self.owner.loop.call_later(DEFERRED_READ_S, self._read_deferred)
+            self.deferred += data
             return
         self._read(data)
 
-    def _read_early(self) -> None:
+    def _read_deferred(self) -> None:
         """Read what came while the process stood still."""
-        data, self.early = bytes(self.early), bytearray()
+        data, self.deferred = bytes(self.deferred), bytearray()
         if data and not self.transport.is_closing():
             self._read(data)
 
     def _read(self, data: bytes) -> None:
         if self.closing:
-            most = BODY_MOST if self.flowing is not None else LINGER_BYTES
+            most = BODY_MOST if self.streamed_request is not None else LINGER_BYTES
             self.lingering_close.swallow(len(data), most)
-        elif self.flowing is not None:
-            self._feed(data)
+        elif self.streamed_request is not None:
+            self._parse(data)
         elif self._has_request() or self.penalised:
             self.unread += data
             if len(self.unread) > MAX_UNREAD_BYTES:
                 self.transport.pause_reading()
         else:
-            self._feed(data)
+            self._parse(data)
 
     def eof_received(self) -> bool:
         """The client writes no more; it may still read."""
-        if self.early:
-            self._read_early()
-        if (self.call is None and self.checked is None) or self.closing or self.flowing is not None:
+        if self.deferred:
+            self._read_deferred()
+        if (
+            (self.call is None and self.unconfirmed is None)
+            or self.closing
+            or self.streamed_request is not None
+        ):
             return False
         self.presence.half_close(self._check_gone)
         return True
 
     def _check_gone(self) -> None:
-        if (self.call is not None or self.checked is not None) and not self.has_left():
-            incoming, self.checked = self.checked, None
+        if (self.call is not None or self.unconfirmed is not None) and not self.has_left():
+            incoming, self.unconfirmed = self.unconfirmed, None
             if incoming is not None:
-                self._take(incoming)
+                self._handle(incoming)
 
     def has_left(self) -> bool:
         """Whether the client is known to have gone; asked before anything more is sent for it."""
@@ -113,7 +117,7 @@
     def connection_lost(self, problem: Exception | None) -> None:
         self.closing = True
         self.lingering_close.cancel()
-        self.flowing = self.passing = self.checked = None
+        self.streamed_request = self.streamed_answer = self.unconfirmed = None
         self.body_memory.release()
         self.reader.close()
         call, self.call = self.call, None
@@ -123,16 +127,16 @@
 
     # Reading
 
-    def _feed(self, data: bytes) -> None:
+    def _parse(self, data: bytes) -> None:
         try:
             rest = self.reader.feed(data, self.active_at)
         except UnreadableRequest as unreadable:
-            self._reject(unreadable.status)
+            self._reject_and_close(unreadable.status)
             return
         if rest:
             self.unread[:0] = rest
-        self._next()
-        self._take_up_long_body()
+        self._handle_ready()
+        self._handle_long_body()
 
     def continue_expected(self) -> None:
         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -141,16 +145,16 @@
         self.owner.request_received(self.usage, self.active_at)
         if incoming.flow is not None:
             incoming.flow.end()
-        if self.flowing is not incoming:
+        if self.streamed_request is not incoming:
             self.reader.ready.append(incoming)
             return
-        self.flowing = None
+        self.streamed_request = None
         if self.call is not None:
             self.engine.whole(self.call)
 
     # A body that is too long to be held
 
-    def _take_up_long_body(self) -> None:
+    def _handle_long_body(self) -> None:
         """Take up a request whose body is still coming, once it is known to be long."""
         incoming = self.reader.incoming
         if incoming is None or not self.reader.has_long_body():
@@ -158,8 +162,8 @@
         if self.call is not None or self.reader.ready or self.closing or self.penalised:
             return
         self.keep_alive = self.reader.should_keep_alive()
-        self.flowing = incoming
-        self._take(incoming)
+        self.streamed_request = incoming
+        self._handle(incoming)
         if self.call is not None:
             self.body_memory.take()
 
@@ -171,7 +175,7 @@
         if not self.transport.is_closing():
             self.transport.resume_reading()
 
-    def _end_flow(self) -> None:
+    def _abandon_call(self) -> None:
         """What still comes of a request is of no use: nobody waits for its answer any more."""
         call, self.call = self.call, None
         if call is not None:
@@ -179,46 +183,46 @@
 
     # A whole request
 
-    def _next(self) -> None:
+    def _handle_ready(self) -> None:
         """Take up the next whole request, if there is one and none is under way."""
         while self.reader.ready and self._is_free():
             incoming = self.reader.ready.popleft()
             self.keep_alive = incoming.keep_alive
             if self.owner.is_late() and self.presence.has_ended_writing():
-                self.checked = incoming  # taken once it is known whether anybody waits for its answer
+                self.unconfirmed = incoming  # taken once it is known whether anybody waits for its answer
                 self.presence.half_close(self._check_gone)
             else:
-                self._take(incoming)
+                self._handle(incoming)
 
     def _is_free(self) -> bool:
         """Whether the next request may be taken up."""
-        free = self.call is None and self.checked is None
+        free = self.call is None and self.unconfirmed is None
         return free and not self.closing and not self.penalised and not self.transport.is_closing()
 
-    def _take(self, incoming: IncomingRequest) -> None:
+    def _handle(self, incoming: IncomingRequest) -> None:
         if incoming.status:
-            self._turn_away(incoming.status)
+            self._answer_with_penalty(incoming.status)
             return
         status = local_status(incoming.url, self.owner.draining)
         if status is not None:
-            self._say(status)
+            self._answer_status(status)
             return
         head = head_of(incoming, self.owner.classes)
         if head is None:
-            self._turn_away(400)
+            self._answer_with_penalty(400)
             return
         self._begin_call(incoming, head)
 
     def _begin_call(self, incoming: IncomingRequest, head: RequestHead) -> None:
-        if self.overflow or (self.flowing is not None and not self.body_memory.can_be_had()):
+        if self.over_limit or (self.streamed_request is not None and not self.body_memory.can_be_had()):
             self.engine.account.at_once(head.request_class, End.REFUSED)
-            self._say(503)
+            self._answer_status(503)
             return
         self.call = call_of(self, incoming, head, self.owner.transport, self.engine.settings)
         if not self.engine.take(self.call):
             self.call = None
             self.engine.account.at_once(head.request_class, End.FAILED)
-            self._turn_away(409)
+            self._answer_with_penalty(409)
 
     # Answering: the engine's side of a call
 
@@ -227,12 +231,12 @@
 
     def began(self, attempt: HttpAttempt, answer: Answer) -> None:
         """The first part of an answer too long to be held; from here on it goes to the client as it comes."""
-        self.passing = attempt
+        self.streamed_answer = attempt
         self.body_memory.take()
         framing = framing_of(answer.length, self.reader.accepts_chunked())
         if framing is BodyFraming.UNTIL_CLOSE:
             self.keep_alive = False
-        self.writer.begin_body(answer.headers, framing, answer.length, self._stays_open())
+        self.writer.begin_body(answer.headers, framing, answer.length, self._decide_keep_alive())
 
     def more(self, data: bytes) -> None:
         if not self.transport.is_closing():
@@ -241,7 +245,7 @@
     def ended(self) -> None:
         if not self.transport.is_closing():
             self.writer.end_body()
-            self._answered()
+            self._answer_written()
 
     def broke(self) -> None:
         """The rest of an answer will not come: the client can tell, for no end of it is written."""
@@ -252,12 +256,12 @@
         self.transport.abort()
 
     def pause_writing(self) -> None:
-        if self.passing is not None:
-            self.passing.pause()
+        if self.streamed_answer is not None:
+            self.streamed_answer.pause()
 
     def resume_writing(self) -> None:
-        if self.passing is not None:
-            self.passing.resume()
+        if self.streamed_answer is not None:
+            self.streamed_answer.resume()
 
     def refused(self, retry_after: int, over_share: bool) -> None:
         headers = [(b"Retry-After", b"%.3f" % (retry_after / 1e9))] if retry_after else []
@@ -266,15 +270,15 @@
     def failed(self, status: int) -> None:
         self._write_answer(status, b"", [])
 
-    def _say(self, status: int) -> None:
+    def _answer_status(self, status: int) -> None:
         """An answer of this side's own, to what the engine does not see."""
         self._write_answer(status, b"", [])
 
-    def _turn_away(self, status: int) -> None:
+    def _answer_with_penalty(self, status: int) -> None:
         """Answer a request that no endpoint may see; the connection's next one waits for a while."""
         self.penalised = True
         self.usage.turned_away += 1
-        self._say(status)
+        self._answer_status(status)
         if not self.closing and not self.transport.is_closing():
             self.transport.pause_reading()
             self.owner.loop.call_later(PENALTY_S, self._end_penalty)
@@ -282,61 +286,61 @@
     def _end_penalty(self) -> None:
         self.penalised = False
         if not self.transport.is_closing():
-            self._go_on()
+            self._continue_reading()
 
     def _write_answer(self, status: int, body: bytes, headers: list[Header]) -> None:
         if self.transport.is_closing():
             self.call = None
             return
-        if self.passing is not None:
+        if self.streamed_answer is not None:
             self.broke()
             return
-        self.writer.write_answer(status, headers, body, self._stays_open())
-        self._answered()
+        self.writer.write_answer(status, headers, body, self._decide_keep_alive())
+        self._answer_written()
 
-    def _stays_open(self) -> bool:
+    def _decide_keep_alive(self) -> bool:
         """Decide whether the connection goes on behind the answer that is about to be written."""
-        if self.half_closed or self.overflow or self.owner.draining or self.flowing is not None:
+        if self.half_closed or self.over_limit or self.owner.draining or self.streamed_request is not None:
             self.keep_alive = False
         elif self.keep_alive and not self.reader.ready and not self.unread:
             self.usage.since = self.owner.loop.time()
             self.keep_alive = not self.owner.ends_with_answer(self)
         return self.keep_alive
 
-    def _answered(self) -> None:
-        self.call = self.passing = None
+    def _answer_written(self) -> None:
+        self.call = self.streamed_answer = None
         self.body_memory.release()
         self.writer.answer_ended()
         self.active_at = self.usage.since = self.owner.loop.time()
         if not self.keep_alive:
-            self._linger(LINGER_FLOW_S if self.flowing is not None else LINGER_S)
+            self._close_lingering(LINGER_FLOW_S if self.streamed_request is not None else LINGER_S)
         elif (self.unread or self.reader.ready or self.reader.has_long_body()) and not self.penalised:
             # Not at once: a client that sends ahead must not keep the others waiting.
-            self.owner.loop.call_soon(self._go_on)
+            self.owner.loop.call_soon(self._continue_reading)
 
-    def _go_on(self) -> None:
+    def _continue_reading(self) -> None:
         if not self._is_free():
             return
         if self.reader.ready:
-            self._next()
+            self._handle_ready()
             return
         data, self.unread = bytes(self.unread), bytearray()
         self.transport.resume_reading()
         if data:
-            self._feed(data)
+            self._parse(data)
         else:
-            self._take_up_long_body()  # its reading may have been paused behind the request before
+            self._handle_long_body()  # its reading may have been paused behind the request before
 
-    def _reject(self, status: int) -> None:
+    def _reject_and_close(self, status: int) -> None:
         """Answer what cannot be read any further, and close."""
         self.keep_alive = False
-        if self.flowing is not None:
-            self._end_flow()
+        if self.streamed_request is not None:
+            self._abandon_call()
         else:
-            self._count_unheard()
-        self._say(status)
+            self._account_incomplete()
+        self._answer_status(status)
 
-    def _count_unheard(self) -> None:
+    def _account_incomplete(self) -> None:
         """Enter a request that is answered before it was whole, where it names a class."""
         if self.incoming is None:
             return
@@ -344,7 +348,7 @@
         if request_class is not None:
             self.engine.account.at_once(request_class, End.FAILED)
 
-    def _linger(self, most_s: float) -> None:
+    def _close_lingering(self, most_s: float) -> None:
         """End this side's writing, and the connection once the client has ended its own."""
         self.closing = True
         if self.transport.is_closing():
@@ -378,7 +382,7 @@
 
     def _has_request(self) -> bool:
         """Whether a whole request is under way or waits for its turn."""
-        return self.call is not None or self.checked is not None or bool(self.reader.ready)
+        return self.call is not None or self.unconfirmed is not None or bool(self.reader.ready)
 
     def is_idle(self) -> bool:
         if not self.waits_for_request():
@@ -395,7 +399,7 @@
     def _is_overdue(self, now: float) -> bool:
         if not self.reader.deadlines.is_waiting() or self.reader.ready or self.closing:
             return False
-        if self.call is not None and self.flowing is None:
+        if self.call is not None and self.streamed_request is None:
             return False
         return self.reader.is_overdue(now)
 
@@ -409,7 +413,7 @@
                 self.transport.abort()
         elif self._is_overdue(now):
             if self.incoming is not None:
-                self._reject(408)
+                self._reject_and_close(408)
             else:
                 self.stop_reading()
         elif now - self.active_at > self.owner.calm_idle_s and self.is_idle():
@@ -419,7 +423,7 @@
     def stop_reading(self) -> None:
         """The end is near: what is not a whole request by now has not been taken."""
         if not self.closing and not self._has_request():
-            self._linger(LINGER_S)
+            self._close_lingering(LINGER_S)
 
     def abort(self) -> None:
         self.transport.abort()
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -14,7 +14,7 @@
 from garnethaven.engine.engine import Engine, S
 from garnethaven.interface import Woke
 from garnethaven.limits.places import CALM_WAIT_S, FIRST_S, Places, Usage
-from garnethaven.net.client import HEARS_FIRST_S, ClientConnection
+from garnethaven.net.client import DEFERRED_READ_S, ClientConnection
 from garnethaven.net.flow import RECEIVE_BUFFER
 from garnethaven.net.owner import OwnedConnection
 from garnethaven.net.transport import HttpTransport
@@ -90,7 +90,7 @@
         self.looked_after_at = 0.0
         self.swept_at = loop.time()
         self.late_until = 0.0  # what came while the loop lagged is being read
-        self.hears_first_until = 0.0  # where the process stood still: discovery's news goes before requests
+        self.defers_until = 0.0  # where the process stood still: discovery's news goes before requests
         loop.call_later(EASE_S, self._sweep)
 
     def _listen(self) -> None:
@@ -125,17 +125,17 @@
                     return taken
                 continue  # the client went away while it waited
             self.accepted_at = self.loop.time()
-            self._serve(sock, overflow=count >= limit)
+            self._serve(sock, over_limit=count >= limit)
             if self.lingering:
                 self._bound_lingering()
         return ACCEPT_AT_ONCE
 
-    def _serve(self, sock: socket.socket, overflow: bool) -> None:
+    def _serve(self, sock: socket.socket, over_limit: bool) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
         def connection() -> ClientConnection:
-            return ClientConnection(self, sock, overflow)
+            return ClientConnection(self, sock, over_limit)
 
         task: asyncio.Task[object] = self.loop.create_task(
             self.loop.connect_accepted_socket(connection, sock)
@@ -222,7 +222,7 @@
         if stood_s > EASE_S + LATE_S:
             self.late_until = now + EASE_S
         if stood_s > STOOD_S:
-            self.hears_first_until = now + HEARS_FIRST_S
+            self.defers_until = now + DEFERRED_READ_S
         if stood_s > ANEW_S:
             self.engine.post(Woke())
         if now >= self.looked_after_at + SWEEP_S:
@@ -233,12 +233,12 @@
             self._ease(now)
         self._listen()  # where it waits for places: silent ones can be closed by now
 
-    def hears_first(self, now: float) -> bool:
+    def defers_reading(self, now: float) -> bool:
         """Whether what clients sent has to wait a moment, for the process stood still.
 
         What has ended meanwhile was told long ago, and its bytes lie unread beside theirs.
         """
-        return now - self.swept_at > STOOD_S or now < self.hears_first_until
+        return now - self.swept_at > STOOD_S or now < self.defers_until
 
     def is_late(self) -> bool:
         """Whether what is read now may have come some time ago, and its client may have left since."""
--- a/garnethaven/net/owner.py
+++ b/garnethaven/net/owner.py
@@ -55,7 +55,7 @@
     draining: bool
     lingers_until: float  # by the loop's clock; a planned end ends what lingers
 
-    def hears_first(self, now: float) -> bool:
+    def defers_reading(self, now: float) -> bool:
         """Whether received bytes must wait, because the process stood still."""
 
     def is_late(self) -> bool:
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -269,7 +269,10 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", sidecar.port, limit=1024)
         writer.write(request())
         await until(
-            lambda: any(c.passing and c.passing.connection.paused for c in sidecar.listener.connections)
+            lambda: any(
+                one.streamed_answer and one.streamed_answer.connection.paused
+                for one in sidecar.listener.connections
+            )
         )
         (connection,) = sidecar.listener.connections
         assert connection.transport.get_write_buffer_size() <= 4 * RECEIVE_BUFFER
