--- a/garnethaven/net/flow.py
+++ b/garnethaven/net/flow.py
@@ -1,67 +1,72 @@
-"""A request's body that is too long to be held: from the client's connection to one endpoint's, as it comes.
+"""Streams a request's body that is too long to be buffered from the client's connection to an endpoint's.
 
-Each side's full buffer pauses the other side's reading, so that a body takes up little whatever its length.
-Until more than `KEPT` bytes have been passed on the whole of what came is still here, and may go to another
-endpoint; from then on the body can't be sent again.
+Backpressure: when the write buffer of one side is full, reading from the other side pauses, so a body takes a
+bounded amount of memory whatever its length. Up to `KEPT` bytes stay buffered and can be replayed to another
+endpoint; once more than that has been passed on, the body can't be sent again.
 """
 
 from __future__ import annotations
 
 from typing import Protocol
 
-# As much as is kept of a body for another endpoint, and as may wait for a connection. Large enough that a
-# dial or an endpoint that turns requests away costs nobody a request; it would do harm only by its sum,
-# which is what one read brings (RECEIVE_BUFFER) more, for each client connection.
+# Bytes of a body that are buffered for a retry, or until there is a connection. Large enough that a failed
+# dial or an endpoint that rejects the request can be retried. Each client connection may hold that much, and
+# the bytes of one read (RECEIVE_BUFFER) beyond it.
 KEPT = 64 * 1024
-HELD_LIMIT = 64 * 1024  # a body or an answer up to this is held whole; a longer one flows
+HELD_LIMIT = 64 * 1024  # a body or an answer up to this size is buffered whole; a longer one is streamed
 LAST_CHUNK = b"0\r\n\r\n"
-RECEIVE_BUFFER = 64 * 1024  # of a socket, which the kernel doubles: what one read may bring
-# What one body or answer that flows holds here at the most: what is kept, what a read brings, and as much in
-# the other side's write buffer. Taken from the one budget for bodies (limits/budgets.py) while it flows.
+RECEIVE_BUFFER = 64 * 1024  # bytes; SO_RCVBUF, which the kernel doubles: an upper bound for one read
+# The most memory that one streamed body or answer takes: the replay buffer, one read, and as much in the
+# other side's write buffer. Reserved in the budget for bodies (limits/budgets.py) while it is streamed.
 FLOW_COST = KEPT + 4 * RECEIVE_BUFFER
-BODY_MOST = 40 * 1024 * 1024  # bytes of a request's or an answer's body; they come up to 32 MB
-# Without a byte of an answer that flows, or without one taken by the client, against peers that are gone.
-# They may pause for seconds.
+BODY_MOST = 40 * 1024 * 1024  # bytes of a request's or an answer's body; the largest expected has 32 MB
+# The longest time without progress on a streamed answer, in either direction, after which the peer counts as
+# gone. Peers may pause for seconds.
 STALL_S = 8.0
 
 
 def chunk(data: bytes) -> bytes:
-    """A part of a body whose length its head does not tell."""
+    """Encode one chunk of a body with chunked transfer coding."""
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
 class Source(Protocol):
-    """The client's connection."""
+    """The connection that a body is read from."""
 
-    def pause_reading(self) -> None: ...
-    def resume_reading(self) -> None: ...
+    def pause_reading(self) -> None:
+        """Stop reading until `resume_reading`; may be called on a closed connection."""
+
+    def resume_reading(self) -> None:
+        """Read on; may be called on a closed connection."""
 
 
 class Sink(Protocol):
-    """The connection to an endpoint."""
+    """The connection that a body is written to."""
 
     def body_came(self, data: bytes) -> bool:
-        """Write more of the body; False where its buffer is full."""
+        """Write the next part of the body; returns False when the write buffer is full."""
 
-    def body_ended(self) -> None: ...
+    def body_ended(self) -> None:
+        """The body is complete."""
 
 
 class Body:
-    """One request's body; `length` is None where its framing does not tell it."""
+    """One request's body; `length` is its size in bytes, None where the framing does not state it."""
 
     def __init__(self, source: Source, length: int | None) -> None:
         self.source = source
         self.length = length
-        self.kept: list[bytes] = []
-        self.size = 0
+        self.kept: list[bytes] = []  # the replay buffer
+        self.size = 0  # bytes received
         self.whole = False
-        self.lost = False  # a part of it is here no longer
-        self.paused = False
+        self.lost = False  # a part is buffered no longer: the body can't be replayed
+        self.paused = False  # reading from the source
         self.sink: Sink | None = None
 
-    # From the client
+    # Called by the source
 
     def came(self, data: bytes) -> None:
+        """Pass on the next part, or buffer it while there is no sink; pauses the source when that is full."""
         self.size += len(data)
         if not self.lost:
             self.kept.append(data)
@@ -75,14 +80,15 @@
             self._pause()
 
     def end(self) -> None:
+        """The last part has been received."""
         self.whole = True
         if self.sink is not None:
             self.sink.body_ended()
 
-    # From the endpoint's connection
+    # Called by the sink
 
     def lead_to(self, sink: Sink) -> None:
-        """Write what has come, and from now on what comes."""
+        """Write the buffered parts to this sink, and from now on all that follow."""
         self.sink = sink
         room = True
         for data in self.kept:
@@ -95,12 +101,13 @@
             self.go_on()
 
     def leave(self, sink: Sink) -> None:
-        """The connection has ended, or carries something else now."""
+        """Detach a sink whose connection has ended or carries another request."""
         if self.sink is sink:
             self.sink = None
-            self.go_on()  # what still comes is kept for the next, or dropped
+            self.go_on()  # what follows is buffered for the next sink, or dropped
 
     def go_on(self) -> None:
+        """The sink's write buffer has room again."""
         if self.paused:
             self.paused = False
             self.source.resume_reading()
--- a/garnethaven/net/presence.py
+++ b/garnethaven/net/presence.py
@@ -1,4 +1,4 @@
-"""What the kernel knows of a connection's other side before the loop does, and how a close looks there."""
+"""Queries of a socket's state in the kernel, ahead of the event loop, and a close with a reset."""
 
 from __future__ import annotations
 
@@ -6,11 +6,11 @@
 import struct
 
 CLOSE_WAIT = 8  # tcpi_state, the first byte of TCP_INFO
-NO_LINGER = struct.pack("ii", 1, 0)
+NO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 seconds
 
 
 def has_unread(sock: socket.socket) -> bool:
-    """Whether something waits to be read: bytes, an end or an error."""
+    """Whether a read would return at once: with bytes, the end of the stream or an error."""
     try:
         sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
@@ -21,7 +21,7 @@
 
 
 def has_ended_writing(sock: socket.socket) -> bool:
-    """Whether the other side has ended its writing, also where nobody has read that; OSError at a reset."""
+    """Whether the peer has sent its FIN, even when that has not been read; raises OSError after a reset."""
     try:
         return not sock.recv(1, socket.MSG_PEEK) or end_has_come(sock)
     except BlockingIOError:
@@ -29,9 +29,9 @@
 
 
 def end_has_come(sock: socket.socket) -> bool:
-    """Whether the other side has ended its writing, also where bytes that wait to be read hide it.
+    """Whether the peer has sent its FIN, even behind unread bytes.
 
-    False where the system does not tell.
+    False on systems without TCP_INFO.
     """
     try:
         return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == CLOSE_WAIT
@@ -40,10 +40,10 @@
 
 
 def is_reset(sock: socket.socket) -> bool:
-    """Whether an error waits, which this call takes away: the caller ends the connection."""
+    """Whether the socket has a pending error. The call clears it, so the caller must close the connection."""
     return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
 
 def reset_at_close(sock: socket.socket) -> None:
-    """Let the close be a reset, which no client takes for the end of an answer."""
+    """Make the close of this socket send a reset, which no client mistakes for the end of an answer."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
--- a/garnethaven/net/request_reader.py
+++ b/garnethaven/net/request_reader.py
@@ -23,13 +23,13 @@
 
 
 class RequestHandler(Source, Protocol):
-    """The connection that requests are read for, and the source of bodies that are too long to be held."""
+    """The connection that requests are parsed for; also the source of streamed bodies."""
 
     def continue_expected(self) -> None:
-        """The client sends the body once it has been told to go on."""
+        """The client waits for 100 Continue before it sends the body."""
 
     def request_completed(self, incoming: IncomingRequest) -> None:
-        """The last byte of a request has come."""
+        """The last byte of a request has been received."""
 
 
 class RequestReader:
--- a/garnethaven/net/requests.py
+++ b/garnethaven/net/requests.py
@@ -1,4 +1,4 @@
-"""A request of the application as it is read, and what of it goes on to an endpoint."""
+"""A client's request while it is received, and the head that is forwarded to an endpoint."""
 
 from __future__ import annotations
 
@@ -10,17 +10,17 @@
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_HEADERS = 128
-# Hop by hop, or said anew by this side.
+# Hop-by-hop headers, and those that this side sets itself.
 DROPPED_HEADERS = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length"
     b" x-budget-ms proxy-authenticate proxy-authorization x-load-report".split()
 )
-# What a `Connection` header can't take away: endpoints know a request and its repeats by these.
+# Headers that are forwarded even if `Connection` lists them: endpoints identify requests and retries by them.
 KEPT_HEADERS = frozenset(b"host x-call-id x-call-class x-caller idempotency-key".split())
 
 
 class IncomingRequest:
-    """A request while it is read."""
+    """A request while it is received."""
 
     __slots__ = ("body", "flow", "headers", "keep_alive", "length", "method", "status", "url")
 
@@ -28,14 +28,14 @@
         self.url = b""
         self.method = b""
         self.headers: list[Header] = []
-        self.length: int | None = None  # of its body, where the head tells
+        self.length: int | None = None  # of the body in bytes, where the head states it
         self.body = bytearray()
-        self.flow: Body | None = None  # where the body is too long to be held
+        self.flow: Body | None = None  # a body that is too long to be buffered
         self.keep_alive = False
-        self.status = 0  # what is wrong with it, as far as it can be told before its end
+        self.status = 0  # of the error answer that the request gets; 0: no error so far
 
     def complete_head(self, method: bytes, head_size: int) -> bool:
-        """Judge the head; True where the client waits for a word before it sends the body."""
+        """Check the head, which has `head_size` bytes; returns whether the client waits for 100 Continue."""
         self.method = method
         self.url = origin_form(self.url)
         if head_size > MAX_HEAD_BYTES and self.head_bytes() > MAX_HEAD_BYTES:
@@ -63,7 +63,7 @@
 
 
 def origin_form(url: bytes) -> bytes:
-    """A target as an endpoint wants it: path and query, without scheme and host of the absolute form."""
+    """A request target in origin form: path and query, without the scheme and host of the absolute form."""
     if url[:7].lower() != b"http://":
         return url
     rest = url[7:]
@@ -73,7 +73,11 @@
 
 @dataclass(slots=True)
 class RequestHead:
-    """What a request asks for, as far as the engine wants to know it, and the head that goes on."""
+    """The parsed head of a request: what the engine needs, and the head that is forwarded.
+
+    `caller` is the tenant's number, `tenant` its name as the client states it; `forwarded` is the forwarded
+    head before and after the value of X-Budget-Ms.
+    """
 
     call_id: bytes
     request_class: int
@@ -83,14 +87,14 @@
     key: str
     dedup_key: bytes
     is_retry: bool
-    forwarded: tuple[bytes, bytes]  # around the value of X-Budget-Ms
+    forwarded: tuple[bytes, bytes]
 
 
 def head_of(incoming: IncomingRequest, classes: Classes) -> RequestHead | None:
-    """What a request asks for, or None where it lacks what every call has.
+    """The parsed head of a request, or None for one that lacks a required header.
 
-    What names a class that the settings don't have is no request of the application: endpoints can't use it
-    either, and would be blamed for turning it away.
+    None also for a class that the settings don't define: endpoints would reject the request, and the
+    rejections would count against them.
     """
     call_id = class_name = caller = idempotency = budget = b""
     is_retry = False
