Rename the listener's intervals, bounds and steps by what they are

STOOD_S, ANEW_S, EASE_S and CLIENTS_PART needed their comments to be understood; _pause and _listen are about accepting. Constants that tests patch keep their names. Nothing else changes.

--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -19,21 +19,21 @@
 from garnethaven.net.owner import OwnedConnection
 from garnethaven.net.transport import HttpTransport
 
-SWEEP_S = 0.2
-LATE_S = 0.03  # a sweep that comes later tells of a loop that lags: clients may have left meanwhile
-STOOD_S = 0.4  # without a sweep: less than the grace in which a drain must be known
-ANEW_S = 1.0  # so long, and what comes then has piled up, as over a restart; less is a busy moment
-EASE_S = 0.05  # between two looks at the places for clients
-CLIENTS_PART = 3  # clients may hold this part of the descriptors for requests
-ACCEPT_AT_ONCE = 64
+CHECK_INTERVAL_S = 0.2
+LOOP_LAG_S = 0.03  # a sweep that comes later tells of a loop that lags: clients may have left meanwhile
+STALLED_S = 0.4  # without a sweep: less than the grace in which a drain must be known
+RESUMED_S = 1.0  # so long, and what comes then has piled up, as over a restart; less is a busy moment
+SWEEP_INTERVAL_S = 0.05  # between two looks at the places for clients
+CLIENT_SHARE_DIVISOR = 3  # clients may hold this part of the descriptors for requests
+MAX_ACCEPTS_PER_EVENT = 64
 OVERFLOW = 16  # connections above the limit that are taken only to say so
-LINGERS_MOST = 16  # the same for connections that linger: beyond it the oldest of them end at once
-DESCRIPTORS_SHORT_S = 0.1
+MAX_LINGERING = 16  # the same for connections that linger: beyond it the oldest of them end at once
+ACCEPT_RETRY_S = 0.1
 
 # A planned end. New connections come for up to 0.4 s after the signal; requests on kept ones as long
-# as these are open. The platform kills no sooner than the longest deadline of the settings, `PATIENCE_MOST_S`
+# as these are open. The platform kills no sooner than the longest deadline of the settings, `MAX_PATIENCE_S`
 # at the most, and `KILL_S` more: where deadlines are short, what lasts longer below ends sooner.
-PATIENCE_MOST_S = 3.0
+MAX_PATIENCE_S = 3.0
 KILL_S = 0.7
 LAST_ANSWER_S = 0.15  # before the kill: by then whatever was taken has its answer
 LINGER_LAST_S = 0.05  # before the kill: by then the last connection is closed
@@ -61,8 +61,8 @@
         self.classes = Classes(engine.settings, config.names)
         self.loop = loop
         self.limit = limit  # the most connections just now
-        self.clients_part = config.sockets // CLIENTS_PART
-        self.places = Places(limit(), self.clients_part)
+        self.client_share = config.sockets // CLIENT_SHARE_DIVISOR
+        self.places = Places(limit(), self.client_share)
         self.set_limits()
         self.connections: set[OwnedConnection] = set()
         self.never_asked = 0  # of those
@@ -72,7 +72,7 @@
         self.accepted: set[socket.socket] = set()  # not a connection yet
         self.draining = False
         self.read_until = self.last_answer_at = math.inf  # of a planned end
-        self.listening = False
+        self.accepting = False
         self.accepted_at = 0.0
         self.lingers_until = math.inf
         self.finished: asyncio.Future[None] = loop.create_future()
@@ -86,32 +86,32 @@
         self.sock.setblocking(False)
         self.sock.bind(config.listen)
         self.sock.listen(1024)
-        self._listen()
-        self.looked_after_at = 0.0
+        self._resume_accepting()
+        self.checked_at = 0.0
         self.swept_at = loop.time()
         self.late_until = 0.0  # what came while the loop lagged is being read
         self.defers_until = 0.0  # where the process stood still: discovery's news goes before requests
-        loop.call_later(EASE_S, self._sweep)
+        loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    def _listen(self) -> None:
-        if not self.listening and not self.sock_closed():
-            self.listening = True
+    def _resume_accepting(self) -> None:
+        if not self.accepting and not self.sock_closed():
+            self.accepting = True
             self.loop.add_reader(self.sock, self._accept)
 
-    def _pause(self) -> None:
-        if self.listening:
-            self.listening = False
+    def _pause_accepting(self) -> None:
+        if self.accepting:
+            self.accepting = False
             self.loop.remove_reader(self.sock)
 
     def _accept(self) -> int:
         """Accept what waits; at the limit those that ask nothing make room, and then a few are taken to
         be told so. More are left to the kernel's backlog until others end."""
-        for taken in range(ACCEPT_AT_ONCE):
+        for taken in range(MAX_ACCEPTS_PER_EVENT):
             count, limit = self.held(), self.limit()
             if count >= limit:
                 count -= self._make_room(count - limit + 1)
             if count >= limit + OVERFLOW:
-                self._pause()
+                self._pause_accepting()
                 return taken
             try:
                 sock, _ = self.sock.accept()
@@ -120,15 +120,15 @@
             except OSError as problem:
                 if problem.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     self.transport.pool.close_oldest_idle()
-                    self._pause()
-                    self.loop.call_later(DESCRIPTORS_SHORT_S, self._listen)
+                    self._pause_accepting()
+                    self.loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
                     return taken
                 continue  # the client went away while it waited
             self.accepted_at = self.loop.time()
             self._serve(sock, over_limit=count >= limit)
             if self.lingering:
                 self._bound_lingering()
-        return ACCEPT_AT_ONCE
+        return MAX_ACCEPTS_PER_EVENT
 
     def _serve(self, sock: socket.socket, over_limit: bool) -> None:
         sock.setblocking(False)
@@ -173,7 +173,7 @@
         self.connections.discard(connection)
         self.leaving.discard(connection)
         self.lingering.pop(connection, None)
-        self._listen()
+        self._resume_accepting()
         self._check_finished()
 
     def lingers(self, connection: OwnedConnection) -> None:
@@ -184,7 +184,7 @@
 
     def _bound_lingering(self) -> None:
         descriptors = len(self.connections) + len(self.accepted)
-        for connection in list(self.lingering)[: max(0, descriptors - self.limit() - LINGERS_MOST)]:
+        for connection in list(self.lingering)[: max(0, descriptors - self.limit() - MAX_LINGERING)]:
             del self.lingering[connection]
             connection.abort()
 
@@ -216,39 +216,39 @@
         return 0
 
     def _sweep(self) -> None:
-        self.loop.call_later(EASE_S, self._sweep)
+        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now = self.loop.time()
-        stood_s, self.swept_at = now - self.swept_at, now
-        if stood_s > EASE_S + LATE_S:
-            self.late_until = now + EASE_S
-        if stood_s > STOOD_S:
+        since_sweep_s, self.swept_at = now - self.swept_at, now
+        if since_sweep_s > SWEEP_INTERVAL_S + LOOP_LAG_S:
+            self.late_until = now + SWEEP_INTERVAL_S
+        if since_sweep_s > STALLED_S:
             self.defers_until = now + DEFERRED_READ_S
-        if stood_s > ANEW_S:
+        if since_sweep_s > RESUMED_S:
             self.engine.post(Woke())
-        if now >= self.looked_after_at + SWEEP_S:
-            self.looked_after_at = now
+        if now >= self.checked_at + CHECK_INTERVAL_S:
+            self.checked_at = now
             for connection in list(self.connections):
                 connection.look_after(now)
         if self.places.pressure(self.held()):
-            self._ease(now)
-        self._listen()  # where it waits for places: silent ones can be closed by now
+            self._close_surplus(now)
+        self._resume_accepting()  # where it waits for places: silent ones can be closed by now
 
     def defers_reading(self, now: float) -> bool:
         """Whether what clients sent has to wait a moment, for the process stood still.
 
         What has ended meanwhile was told long ago, and its bytes lie unread beside theirs.
         """
-        return now - self.swept_at > STOOD_S or now < self.defers_until
+        return now - self.swept_at > STALLED_S or now < self.defers_until
 
     def is_late(self) -> bool:
         """Whether what is read now may have come some time ago, and its client may have left since."""
         now = self.loop.time()
-        return now < self.late_until or now - self.swept_at > EASE_S + LATE_S
+        return now < self.late_until or now - self.swept_at > SWEEP_INTERVAL_S + LOOP_LAG_S
 
     def set_limits(self, client_places: int = 0, calm_idle_s: float = CALM_WAIT_S) -> None:
         """Take over an operator's settings, also while connections are open; 0 places: not told."""
         self.calm_idle_s = calm_idle_s
-        self.places.resize(self.limit(), client_places or self.clients_part, calm_idle_s)
+        self.places.resize(self.limit(), client_places or self.client_share, calm_idle_s)
 
     def held(self) -> int:
         """The connections that take a place here or on the clients' side."""
@@ -258,7 +258,7 @@
         held = self.held() - self.never_asked
         return self.places.ends_with_answer(connection.usage, held, connection.usage.since)
 
-    def _ease(self, now: float) -> None:
+    def _close_surplus(self, now: float) -> None:
         """Close what is least worth its place, before there is none left."""
         waiting = [one for one in self.connections if one.waits_for_request()]
         for connection in self.places.to_close(waiting, self.held(), now):
@@ -276,7 +276,7 @@
         lead_to_the_next(self.sock)
         self.accepted_at = max(self.accepted_at, now)
         patience_s = max(grade.deadline for grade in self.engine.settings.grades) / S
-        killed_at = now + min(patience_s, PATIENCE_MOST_S) + KILL_S
+        killed_at = now + min(patience_s, MAX_PATIENCE_S) + KILL_S
         self.lingers_until = killed_at - LINGER_LAST_S
         self.last_answer_at = killed_at - LAST_ANSWER_S
         self.engine.end_by(self.last_answer_at - now)
@@ -304,19 +304,19 @@
             self.loop.call_later(0.02, self._stop_listening, latest)
             return
         stop_arrivals(self.sock)
-        self.loop.call_later(LOOK_S, self._empty_backlog, min(now + DRAIN_BACKLOG_S, self.last_answer_at))
+        self.loop.call_later(LOOK_S, self._drain_backlog, min(now + DRAIN_BACKLOG_S, self.last_answer_at))
 
-    def _empty_backlog(self, latest: float) -> None:
+    def _drain_backlog(self, latest: float) -> None:
         """Close the listener once all that has arrived is taken: what is left in the kernel is reset."""
         now = self.loop.time()
         came = self._accept()
         left = waiting(self.sock)
         if now < latest and (came or left):
-            self.loop.call_later(LOOK_S, self._empty_backlog, latest)
+            self.loop.call_later(LOOK_S, self._drain_backlog, latest)
             return
         if left:
             self.engine.log(f"the listening socket is closed on {left} that found no place")
-        self._pause()
+        self._pause_accepting()
         self.sock.close()
         self._close_idle()
         self.loop.call_at(max(self.read_until, min(now + FIRST_S, self.last_answer_at)), self._stop_reading)
