Shorten the listener's and the connection's functions and describe them plainly

The listening socket, the count above the limit, the retry after a failed accept, and the two ends that look_after can come to are functions of their own; docstrings and comments use the terms of the field. No behaviour changes.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -1,4 +1,7 @@
-"""One connection of the application: reading its requests within bounds, writing their answers."""
+"""One client's connection: hands its requests to the engine one at a time and writes their answers in turn.
+
+Parsing, writing, the close and the client's presence each have a module of their own beside this one.
+"""
 
 from __future__ import annotations
 
@@ -23,24 +26,27 @@
 from garnethaven.net.response_writer import BodyFraming, ResponseWriter, framing_of
 from garnethaven.net.transport import HttpAttempt
 
-DEFERRED_READ_S = 0.02  # seconds: some rounds of the loop
-MAX_UNREAD_BYTES = 64 * 1024
-# After a request that no endpoint may see the next one on its connection is not read for a while: a
-# client that sends the same again at once would take the time of all others. The answer itself is not
-# held. Closing instead would have it connect anew, which costs more.
+DEFERRED_READ_S = 0.02  # some iterations of the event loop
+MAX_UNREAD_BYTES = 64 * 1024  # bytes behind a request that is under way; then reading pauses
+# After an invalid request the connection is not read for a while: a client that repeats it at once would take
+# the time of all others. The answer itself is not delayed. To close the connection instead would cost more,
+# for the client would connect again.
 PENALTY_S = 0.2
 
 
 class ClientConnection(asyncio.Protocol):
-    """One connection of the application: one request at a time, answered in turn."""
+    """One client's connection: the engine's client of its calls, and the source of their long bodies.
+
+    `over_limit` is set on a connection that is accepted only to be refused.
+    """
 
     def __init__(self, owner: Owner, sock: socket.socket, over_limit: bool) -> None:
         self.owner = owner
         self.engine = owner.engine
         self.sock = sock
         self.over_limit = over_limit
-        self.deferred = bytearray()  # came as the process woke, and waits for discovery's news
-        self.unread = bytearray()  # what came while a request was under way
+        self.deferred = bytearray()  # received after the process was stopped; waits for discovery's updates
+        self.unread = bytearray()  # received while a request was under way
         self.unconfirmed: IncomingRequest | None = None  # its client may have gone
         self.call: Call | None = None
         self.streamed_request: IncomingRequest | None = None  # under way, its body still comes
@@ -52,7 +58,7 @@
         self.active_at = owner.loop.time()
         self.usage = Usage(self.active_at)
         self.reader = RequestReader(self, self.active_at)
-        self.unsent = 0
+        self.unsent = 0  # bytes in the write buffer at the last check
 
     # asyncio.Protocol
 
@@ -73,7 +79,7 @@
         self._read(data)
 
     def _read_deferred(self) -> None:
-        """Read what came while the process stood still."""
+        """Read what was deferred after the process was stopped."""
         data, self.deferred = bytes(self.deferred), bytearray()
         if data and not self.transport.is_closing():
             self._read(data)
@@ -95,23 +101,20 @@
         """The client writes no more; it may still read."""
         if self.deferred:
             self._read_deferred()
-        if (
-            (self.call is None and self.unconfirmed is None)
-            or self.closing
-            or self.streamed_request is not None
-        ):
+        if not self._has_begun_request() or self.closing or self.streamed_request is not None:
             return False
         self.presence.half_close(self._check_gone)
         return True
 
     def _check_gone(self) -> None:
-        if (self.call is not None or self.unconfirmed is not None) and not self.has_left():
-            incoming, self.unconfirmed = self.unconfirmed, None
-            if incoming is not None:
-                self._handle(incoming)
+        if not self._has_begun_request() or self.has_left():
+            return
+        incoming, self.unconfirmed = self.unconfirmed, None
+        if incoming is not None:
+            self._handle(incoming)
 
     def has_left(self) -> bool:
-        """Whether the client is known to have gone; asked before anything more is sent for it."""
+        """Whether the client is known to have gone; called before each further attempt for it."""
         return self.presence.has_left(self._check_gone)
 
     def connection_lost(self, problem: Exception | None) -> None:
@@ -125,7 +128,7 @@
             self.engine.left(call)
         self.owner.forget(self)
 
-    # Reading
+    # Reading: the handler of the reader
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -152,10 +155,10 @@
         if self.call is not None:
             self.engine.whole(self.call)
 
-    # A body that is too long to be held
+    # Bodies that are too long to be buffered
 
     def _handle_long_body(self) -> None:
-        """Take up a request whose body is still coming, once it is known to be long."""
+        """Handle a request whose body is still being received, once it is known to be long."""
         incoming = self.reader.incoming
         if incoming is None or not self.reader.has_long_body():
             return
@@ -176,28 +179,33 @@
             self.transport.resume_reading()
 
     def _abandon_call(self) -> None:
-        """What still comes of a request is of no use: nobody waits for its answer any more."""
+        """Fail the call whose request will not be received whole."""
         call, self.call = self.call, None
         if call is not None:
             self.engine.left(call, End.FAILED)
 
-    # A whole request
+    # Complete requests
 
     def _handle_ready(self) -> None:
-        """Take up the next whole request, if there is one and none is under way."""
+        """Handle the next complete request, if there is one and none is under way."""
         while self.reader.ready and self._is_free():
             incoming = self.reader.ready.popleft()
             self.keep_alive = incoming.keep_alive
             if self.owner.is_late() and self.presence.has_ended_writing():
-                self.unconfirmed = incoming  # taken once it is known whether anybody waits for its answer
+                self.unconfirmed = incoming  # handled once the client is known to be there
                 self.presence.half_close(self._check_gone)
             else:
                 self._handle(incoming)
 
     def _is_free(self) -> bool:
-        """Whether the next request may be taken up."""
-        free = self.call is None and self.unconfirmed is None
-        return free and not self.closing and not self.penalised and not self.transport.is_closing()
+        """Whether the next request may be handled."""
+        if self._has_begun_request() or self.closing or self.penalised:
+            return False
+        return not self.transport.is_closing()
+
+    def _has_begun_request(self) -> bool:
+        """Whether a request is being handled, or waits until its client is known to be there."""
+        return self.call is not None or self.unconfirmed is not None
 
     def _handle(self, incoming: IncomingRequest) -> None:
         if incoming.status:
@@ -224,13 +232,13 @@
             self.engine.account.at_once(head.request_class, End.FAILED)
             self._answer_with_penalty(409)
 
-    # Answering: the engine's side of a call
+    # Answers: the client of the engine's calls (engine/calls.py, net/transport.py)
 
     def served(self, answer: Answer) -> None:
         self._write_answer(200, b"".join(answer.body), answer.headers)
 
     def began(self, attempt: HttpAttempt, answer: Answer) -> None:
-        """The first part of an answer too long to be held; from here on it goes to the client as it comes."""
+        """The first part of a streamed answer, which has status 200."""
         self.streamed_answer = attempt
         self.body_memory.take()
         framing = framing_of(answer.length, self.reader.accepts_chunked())
@@ -248,11 +256,10 @@
             self._answer_written()
 
     def broke(self) -> None:
-        """The rest of an answer will not come: the client can tell, for no end of it is written."""
+        """Abort: the rest of a streamed answer is missing, and the client can tell by its framing."""
         self.call = None
         if self.writer.framing is BodyFraming.UNTIL_CLOSE:
-            # Only a reset tells a client of an answer that is as long as the connection lasts.
-            reset_at_close(self.sock)
+            reset_at_close(self.sock)  # to the client, an orderly close would be the end of the answer
         self.transport.abort()
 
     def pause_writing(self) -> None:
@@ -271,11 +278,11 @@
         self._write_answer(status, b"", [])
 
     def _answer_status(self, status: int) -> None:
-        """An answer of this side's own, to what the engine does not see."""
+        """Answer a request that the engine does not see."""
         self._write_answer(status, b"", [])
 
     def _answer_with_penalty(self, status: int) -> None:
-        """Answer a request that no endpoint may see; the connection's next one waits for a while."""
+        """Answer an invalid request; the next one on the connection is not read for a while."""
         self.penalised = True
         self.usage.turned_away += 1
         self._answer_status(status)
@@ -299,7 +306,7 @@
         self._answer_written()
 
     def _decide_keep_alive(self) -> bool:
-        """Decide whether the connection goes on behind the answer that is about to be written."""
+        """Decide whether the connection persists after the answer that is about to be written."""
         if self.half_closed or self.over_limit or self.owner.draining or self.streamed_request is not None:
             self.keep_alive = False
         elif self.keep_alive and not self.reader.ready and not self.unread:
@@ -315,7 +322,7 @@
         if not self.keep_alive:
             self._close_lingering(LINGER_FLOW_S if self.streamed_request is not None else LINGER_S)
         elif (self.unread or self.reader.ready or self.reader.has_long_body()) and not self.penalised:
-            # Not at once: a client that sends ahead must not keep the others waiting.
+            # Not at once: a client that pipelines requests must not delay the others.
             self.owner.loop.call_soon(self._continue_reading)
 
     def _continue_reading(self) -> None:
@@ -329,10 +336,10 @@
         if data:
             self._parse(data)
         else:
-            self._handle_long_body()  # its reading may have been paused behind the request before
+            self._handle_long_body()  # reading may have paused in it behind the last request
 
     def _reject_and_close(self, status: int) -> None:
-        """Answer what cannot be read any further, and close."""
+        """Answer a request that can't be read any further, and close."""
         self.keep_alive = False
         if self.streamed_request is not None:
             self._abandon_call()
@@ -341,7 +348,7 @@
         self._answer_status(status)
 
     def _account_incomplete(self) -> None:
-        """Enter a request that is answered before it was whole, where it names a class."""
+        """Account for a request that is answered before it was complete, where its class is known."""
         if self.incoming is None:
             return
         request_class = self.owner.classes.grades.get(self.incoming.class_name())
@@ -349,17 +356,17 @@
             self.engine.account.at_once(request_class, End.FAILED)
 
     def _close_lingering(self, most_s: float) -> None:
-        """End this side's writing, and the connection once the client has ended its own."""
+        """Close after the client's own end, or after `most_s` seconds (lingering_close.py)."""
         self.closing = True
         if self.transport.is_closing():
             return
         if self.half_closed:
-            self.transport.close()  # it has ended: nothing can come
+            self.transport.close()  # the client has ended its side already
             return
         self.owner.lingers(self)
         self.lingering_close.begin(most_s)
 
-    # Looked after by the listener
+    # Managed by the listener (owner.py)
 
     @property
     def waits_since(self) -> float:
@@ -376,13 +383,13 @@
         return self.presence.half_closed
 
     def waits_for_request(self) -> bool:
-        """Whether nothing of a request has been seen yet."""
+        """Whether nothing of a request has been received yet."""
         busy = self._has_request() or self.incoming is not None or self.unread
         return not busy and not self.closing
 
     def _has_request(self) -> bool:
-        """Whether a whole request is under way or waits for its turn."""
-        return self.call is not None or self.unconfirmed is not None or bool(self.reader.ready)
+        """Whether a complete request is being handled or waits for its turn."""
+        return self._has_begun_request() or bool(self.reader.ready)
 
     def is_idle(self) -> bool:
         if not self.waits_for_request():
@@ -390,7 +397,7 @@
         return not has_unread(self.sock) and not self.transport.get_write_buffer_size()
 
     def takes_room(self, now: float) -> bool:
-        """Whether it only takes up room: silent or slow, or turned away."""
+        """Whether it is silent or slow, or its last request was invalid."""
         if self.closing or self._has_request():
             return False
         silent = self.waits_since > 0.0 and now - self.waits_since >= FIRST_S
@@ -404,24 +411,30 @@
         return self.reader.is_overdue(now)
 
     def look_after(self, now: float) -> None:
-        """End what does not go on: a request that is never finished, an answer that is never read."""
+        """End a request that is not received in time, an answer that is not read, an idle connection."""
         unsent = self.transport.get_write_buffer_size()
         if unsent:
-            if unsent != self.unsent:
-                self.active_at = now
-            elif now - self.active_at > STALL_S:
-                self.transport.abort()
+            self._check_write_progress(unsent, now)
         elif self._is_overdue(now):
-            if self.incoming is not None:
-                self._reject_and_close(408)
-            else:
-                self.stop_reading()
+            self._end_overdue()
         elif now - self.active_at > self.owner.calm_idle_s and self.is_idle():
             self.stop_reading()
         self.unsent = unsent
 
+    def _check_write_progress(self, unsent: int, now: float) -> None:
+        if unsent != self.unsent:
+            self.active_at = now
+        elif now - self.active_at > STALL_S:
+            self.transport.abort()
+
+    def _end_overdue(self) -> None:
+        if self.incoming is not None:
+            self._reject_and_close(408)
+        else:
+            self.stop_reading()
+
     def stop_reading(self) -> None:
-        """The end is near: what is not a whole request by now has not been taken."""
+        """Close, unless there is a complete request: one that is not complete has no effect yet."""
         if not self.closing and not self._has_request():
             self._close_lingering(LINGER_S)
 
@@ -429,7 +442,7 @@
         self.transport.abort()
 
     def make_room(self) -> None:
-        """End at once, where the descriptor is wanted for another."""
+        """Close at once, unless there is a complete request: the descriptor is needed."""
         if not self.closing and not self._has_request():
             self.closing = True
             self.owner.closes(self)
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -1,4 +1,4 @@
-"""The listening socket, its connections, and the planned end."""
+"""The HTTP/1.1 front: the listening socket, its connections and the graceful shutdown."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Callable
 
+from garnethaven.addresses import Address
 from garnethaven.backlog import LOOK_S, lead_to_the_next, stop_arrivals, waiting
 from garnethaven.config import Config
 from garnethaven.engine.classes import Classes
@@ -19,34 +20,55 @@
 from garnethaven.net.owner import OwnedConnection
 from garnethaven.net.transport import HttpTransport
 
-CHECK_INTERVAL_S = 0.2
-LOOP_LAG_S = 0.03  # a sweep that comes later tells of a loop that lags: clients may have left meanwhile
-STALLED_S = 0.4  # without a sweep: less than the grace in which a drain must be known
-RESUMED_S = 1.0  # so long, and what comes then has piled up, as over a restart; less is a busy moment
-SWEEP_INTERVAL_S = 0.05  # between two looks at the places for clients
-CLIENT_SHARE_DIVISOR = 3  # clients may hold this part of the descriptors for requests
+SWEEP_INTERVAL_S = 0.05  # between two checks of the number of connections
+CHECK_INTERVAL_S = 0.2  # between two checks of every connection's timeouts
+LOOP_LAG_S = 0.03  # a sweep that is later than this shows that the loop lags: clients may have left meanwhile
+STALLED_S = 0.4  # without a sweep; shorter than the grace in which a drain must be known
+RESUMED_S = 1.0  # without a sweep: requests have queued up, as over a restart; less is a load peak
+CLIENT_SHARE_DIVISOR = 3  # clients may hold one part in so many of the descriptors
 MAX_ACCEPTS_PER_EVENT = 64
-OVERFLOW = 16  # connections above the limit that are taken only to say so
-MAX_LINGERING = 16  # the same for connections that linger: beyond it the oldest of them end at once
-ACCEPT_RETRY_S = 0.1
-
-# A planned end. New connections come for up to 0.4 s after the signal; requests on kept ones as long
-# as these are open. The platform kills no sooner than the longest deadline of the settings, `MAX_PATIENCE_S`
-# at the most, and `KILL_S` more: where deadlines are short, what lasts longer below ends sooner.
+OVERFLOW = 16  # connections above the limit that are accepted only to be refused
+MAX_LINGERING = 16  # lingering connections above the limit; beyond it the oldest are aborted
+ACCEPT_RETRY_S = 0.1  # after an accept failed for want of descriptors or memory
+OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+LISTEN_BACKLOG = 1024
+
+# Graceful shutdown. New connections come for up to 0.4 s after the signal, requests on persistent ones as
+# long as these are open. The platform sends SIGKILL no sooner than the longest deadline of the settings (at
+# most `MAX_PATIENCE_S`) and `KILL_S` after the signal; with short deadlines the longer phases end sooner.
 MAX_PATIENCE_S = 3.0
 KILL_S = 0.7
-LAST_ANSWER_S = 0.15  # before the kill: by then whatever was taken has its answer
-LINGER_LAST_S = 0.05  # before the kill: by then the last connection is closed
+LAST_ANSWER_S = 0.15  # before the kill: every request that was accepted has its answer
+LINGER_LAST_S = 0.05  # before the kill: the last connection is closed
 DRAIN_IDLE_S = 0.45  # then idle connections are closed, while a resent request still finds the listener
-DRAIN_LISTEN_S = 0.65
-DRAIN_QUIET_S = 0.2  # the listener stays while connections come
-DRAIN_LISTEN_MOST_S = 1.2
-DRAIN_BACKLOG_S = 1.0  # for what has arrived but finds no place, once no more may arrive
-DRAIN_READ_S = 1.4  # then a request that is still being written is given up
+DRAIN_LISTEN_S = 0.65  # the shortest time for which the socket listens
+DRAIN_QUIET_S = 0.2  # without a new connection, after which the socket stops listening
+DRAIN_LISTEN_MOST_S = 1.2  # the longest time for which it listens
+DRAIN_BACKLOG_S = 1.0  # for connections in the backlog, once no more can arrive
+DRAIN_READ_S = 1.4  # then a request that has not been received whole is abandoned
+
+
+def listening_socket(address: Address) -> socket.socket:
+    """A listening TCP socket, non-blocking; raises OSError where the address can't be had."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # After a restart the address is free at once, whatever state the last process's connections are in.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # During an upgrade the old and the new version listen at the same time.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    # Accepted connections inherit the receive buffer, which bounds the size of one read.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    sock.setblocking(False)
+    sock.bind(address)
+    sock.listen(LISTEN_BACKLOG)
+    return sock
 
 
 class Listener:
-    """The listening socket, its connections, and how they end."""
+    """Accepts clients' connections, bounds their number, and shuts down gracefully.
+
+    `limit` returns the largest number of connections at the time of the call. The constructor opens the
+    socket and raises OSError where the address can't be had; `finished` is done at the end of a `drain`.
+    """
 
     def __init__(
         self,
@@ -60,37 +82,28 @@
         self.transport = transport
         self.classes = Classes(engine.settings, config.names)
         self.loop = loop
-        self.limit = limit  # the most connections just now
+        self.limit = limit
         self.client_share = config.sockets // CLIENT_SHARE_DIVISOR
         self.places = Places(limit(), self.client_share)
         self.set_limits()
         self.connections: set[OwnedConnection] = set()
-        self.never_asked = 0  # of those
-        self.leaving: set[OwnedConnection] = set()  # of those, closed and about to be gone
-        self.lingering: dict[OwnedConnection, None] = {}  # of these, the oldest first
+        self.never_asked = 0  # connections without a request so far
+        self.leaving: set[OwnedConnection] = set()  # connections that are being closed
+        self.lingering: dict[OwnedConnection, None] = {}  # those of them that linger, the oldest first
         self.arriving: set[asyncio.Task[object]] = set()
-        self.accepted: set[socket.socket] = set()  # not a connection yet
+        self.accepted: set[socket.socket] = set()  # no connection of the event loop yet
         self.draining = False
-        self.read_until = self.last_answer_at = math.inf  # of a planned end
+        self.read_until = self.last_answer_at = math.inf  # deadlines of a shutdown
         self.accepting = False
         self.accepted_at = 0.0
         self.lingers_until = math.inf
         self.finished: asyncio.Future[None] = loop.create_future()
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        # A restart must have the address at once, whatever the last life's connections wait for.
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # And a new version before the old one has gone: both listen for a while.
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        # What one read brings is bounded: connections made here take it over.
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        self.sock.setblocking(False)
-        self.sock.bind(config.listen)
-        self.sock.listen(1024)
+        self.sock = listening_socket(config.listen)
         self._resume_accepting()
         self.checked_at = 0.0
         self.swept_at = loop.time()
-        self.late_until = 0.0  # what came while the loop lagged is being read
-        self.defers_until = 0.0  # where the process stood still: discovery's news goes before requests
+        self.late_until = 0.0  # until then, bytes that arrived while the loop lagged are being read
+        self.defers_until = 0.0  # until then, requests wait for discovery's updates
         loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def _resume_accepting(self) -> None:
@@ -104,13 +117,14 @@
             self.loop.remove_reader(self.sock)
 
     def _accept(self) -> int:
-        """Accept what waits; at the limit those that ask nothing make room, and then a few are taken to
-        be told so. More are left to the kernel's backlog until others end."""
+        """Accept the connections that wait; returns how many.
+
+        At the limit, connections without a request are closed to make room. Where there are none, up to
+        OVERFLOW more are accepted only to be refused, and others stay in the kernel's backlog.
+        """
         for taken in range(MAX_ACCEPTS_PER_EVENT):
-            count, limit = self.held(), self.limit()
-            if count >= limit:
-                count -= self._make_room(count - limit + 1)
-            if count >= limit + OVERFLOW:
+            excess = self._excess()
+            if excess >= OVERFLOW:
                 self._pause_accepting()
                 return taken
             try:
@@ -118,18 +132,29 @@
             except BlockingIOError:
                 return taken
             except OSError as problem:
-                if problem.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self.transport.pool.close_oldest_idle()
-                    self._pause_accepting()
-                    self.loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
+                if problem.errno in OUT_OF_RESOURCES:
+                    self._retry_accepting()
                     return taken
                 continue  # the client went away while it waited
             self.accepted_at = self.loop.time()
-            self._serve(sock, over_limit=count >= limit)
+            self._serve(sock, over_limit=excess >= 0)
             if self.lingering:
                 self._bound_lingering()
         return MAX_ACCEPTS_PER_EVENT
 
+    def _excess(self) -> int:
+        """Connections above the limit, after making room for one more; negative: there is room."""
+        excess = self.held() - self.limit()
+        if excess >= 0:
+            excess -= self._make_room(excess + 1)
+        return excess
+
+    def _retry_accepting(self) -> None:
+        """Free a descriptor, and accept again after a pause."""
+        self.transport.pool.close_oldest_idle()
+        self._pause_accepting()
+        self.loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
+
     def _serve(self, sock: socket.socket, over_limit: bool) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -177,7 +202,7 @@
         self._check_finished()
 
     def lingers(self, connection: OwnedConnection) -> None:
-        """A connection has ended on this side: it takes no place, but its descriptor for a while."""
+        """A connection has ended its writing: it counts no longer, but holds its descriptor for a while."""
         self.leaving.add(connection)
         self.lingering[connection] = None
         self._bound_lingering()
@@ -192,11 +217,12 @@
         return self.sock.fileno() < 0
 
     def _make_room(self, wanted: int) -> int:
-        """Close the connections that are least likely to be missed; tells how many.
+        """Close up to `wanted` connections that are least likely to be used; returns how many.
 
-        First those that ask nothing, the oldest of them: clients that connect by hundreds and say nothing
-        must not cost others their places. Then an idle one, rather one that has never asked, then the one
-        that has been idle for longest. A request that waits in the kernel is no idleness.
+        First those that are silent or slow, the oldest first: clients that open hundreds of connections and
+        send nothing must not displace others. Then one idle connection, by preference one without a request
+        so far, else the one with the longest expected wait. One with a request unread in the kernel is not
+        idle.
         """
         now = self.loop.time()
         silent = [one for one in self.connections if one.takes_room(now)]
@@ -234,24 +260,29 @@
         self._resume_accepting()  # where it waits for places: silent ones can be closed by now
 
     def defers_reading(self, now: float) -> bool:
-        """Whether what clients sent has to wait a moment, for the process stood still.
+        """Whether received bytes wait a moment, because the process was stopped.
 
-        What has ended meanwhile was told long ago, and its bytes lie unread beside theirs.
+        Discovery's updates of that time lie unread in the kernel beside the clients' requests, and must be
+        applied first.
         """
         return now - self.swept_at > STALLED_S or now < self.defers_until
 
     def is_late(self) -> bool:
-        """Whether what is read now may have come some time ago, and its client may have left since."""
+        """Whether bytes that are read now may have arrived some time ago, and their client may have left."""
         now = self.loop.time()
         return now < self.late_until or now - self.swept_at > SWEEP_INTERVAL_S + LOOP_LAG_S
 
     def set_limits(self, client_places: int = 0, calm_idle_s: float = CALM_WAIT_S) -> None:
-        """Take over an operator's settings, also while connections are open; 0 places: not told."""
+        """Apply an operator's settings, also while connections are open.
+
+        `client_places` is the most connections that clients hold on their side (0: not known), `calm_idle_s`
+        the seconds after which an idle connection is closed.
+        """
         self.calm_idle_s = calm_idle_s
         self.places.resize(self.limit(), client_places or self.client_share, calm_idle_s)
 
     def held(self) -> int:
-        """The connections that take a place here or on the clients' side."""
+        """The number of connections that count against the limits."""
         return len(self.connections) + len(self.accepted) - len(self.leaving)
 
     def ends_with_answer(self, connection: OwnedConnection) -> bool:
@@ -259,16 +290,16 @@
         return self.places.ends_with_answer(connection.usage, held, connection.usage.since)
 
     def _close_surplus(self, now: float) -> None:
-        """Close what is least worth its place, before there is none left."""
+        """Close the idle connections that are least likely to be used, before the limit is reached."""
         waiting = [one for one in self.connections if one.waits_for_request()]
         for connection in self.places.to_close(waiting, self.held(), now):
             if connection.is_idle():
                 connection.stop_reading()
 
-    # The planned end
+    # Graceful shutdown
 
     def drain(self) -> None:
-        """Go on while clients come, answer what was taken, then finish."""
+        """Serve clients that still connect, answer every accepted request, then finish."""
         if self.draining:
             return
         self.draining = True
@@ -297,7 +328,7 @@
                 connection.stop_reading()
 
     def _stop_listening(self, latest: float) -> None:
-        """Let nothing more arrive once clients have stopped coming, or at the latest moment."""
+        """Stop new handshakes once clients have stopped connecting, or at `latest`."""
         now = self.loop.time()
         came = self._accept()
         if now < latest and (came or now - self.accepted_at < DRAIN_QUIET_S):
@@ -307,7 +338,7 @@
         self.loop.call_later(LOOK_S, self._drain_backlog, min(now + DRAIN_BACKLOG_S, self.last_answer_at))
 
     def _drain_backlog(self, latest: float) -> None:
-        """Close the listener once all that has arrived is taken: what is left in the kernel is reset."""
+        """Close the socket once the backlog is empty, or at `latest`: connections left there are reset."""
         now = self.loop.time()
         came = self._accept()
         left = waiting(self.sock)
