--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -1,300 +1,174 @@
-"""One connection of the application: reading its requests within bounds, writing their answers."""
+"""One client's connection: hands its requests to the engine one at a time and writes their answers in turn.
+
+Parsing, writing, the close and the client's presence each have a module of their own beside this one.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import socket
-from collections import deque
 from typing import cast
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-
 from garnethaven.engine.account import End
 from garnethaven.engine.calls import Call
-from garnethaven.engine.engine import MS
 from garnethaven.limits.places import FIRST_S, Usage
-from garnethaven.net.answers import VERSION, answer_head
+from garnethaven.net.body_memory import BodyReservation
+from garnethaven.net.call_making import call_of
+from garnethaven.net.client_presence import ClientPresence
 from garnethaven.net.exchange import Answer, Header
-from garnethaven.net.flow import BODY_MOST, FLOW_COST, HELD_LIMIT, LAST_CHUNK, STALL_S, Body, chunk
+from garnethaven.net.flow import BODY_MOST, STALL_S
+from garnethaven.net.lingering_close import LINGER_BYTES, LINGER_FLOW_S, LINGER_S, LingeringClose
+from garnethaven.net.local_paths import local_status
 from garnethaven.net.owner import Owner
-from garnethaven.net.presence import has_ended_writing, has_unread, is_reset, reset_at_close
-from garnethaven.net.requests import HEAD_LIMIT, HEADERS_MOST, Incoming, Wanted, wanted
-from garnethaven.net.transport import HttpAttempt, HttpRequest
-
-HEARS_FIRST_S = 0.02  # seconds: some rounds of the loop
-PIPELINED_LIMIT = 64 * 1024
-PIPELINED_MOST = 16  # whole requests that may wait behind one; clients send one at a time
-# A head must come in this time after its first byte, the first one after the connection's start: against
-# clients that say nothing or never end a head, whatever they mean by it. Heads may take 2 s. An application
-# that connects ahead of need finds such connections closed, as any that stands idle.
-HEAD_S = 2.4
-# A body earns its time by its bytes: at so many a second, over a grace; they come at 64 kB a second. Against
-# those that trickle, and by the pause against those that stop. It would do harm to a client that stops
-# for longer; the pages know pauses of 2 s.
-BODY_RATE = 40_000
-BODY_GRACE_S = 2.4
-BODY_PAUSE_S = 2.4
-# After a request that no endpoint may see the next one on its connection is not read for a while: a
-# client that sends the same again at once would take the time of all others. The answer itself is not
-# held. Closing instead would have it connect anew, which costs more.
+from garnethaven.net.presence import has_unread, reset_at_close
+from garnethaven.net.request_reader import RequestReader, UnreadableRequest
+from garnethaven.net.requests import IncomingRequest, RequestHead, head_of
+from garnethaven.net.response_writer import BodyFraming, ResponseWriter, framing_of
+from garnethaven.net.transport import HttpAttempt
+
+DEFERRED_READ_S = 0.02  # some iterations of the event loop
+MAX_UNREAD_BYTES = 64 * 1024  # bytes behind a request that is under way; then reading pauses
+# After an invalid request the connection is not read for a while: a client that repeats it at once would take
+# the time of all others. The answer itself is not delayed. To close the connection instead would cost more,
+# for the client would connect again.
 PENALTY_S = 0.2
-# A lingering close: this side's writing ends, what still comes is read and dropped, and the connection goes
-# with the client's own end, or after so long. Bytes that nobody reads would make the close a reset, which may
-# cost the client its last answer; nothing read after the end is sent on. It would do harm only by its
-# descriptors, so that it ends at once where places are short.
-LINGER_S = 0.5
-LINGER_BYTES = 256 * 1024
-LINGER_FLOW_S = 6.0  # the same for a long body, whose client may read only once it has written all
-HALF_CLOSED_CHECK_S = 0.005  # the client is on this machine: a reset is back at once
 
 
 class ClientConnection(asyncio.Protocol):
-    """One connection of the application: one request at a time, answered in turn."""
+    """One client's connection: the engine's client of its calls, and the source of their long bodies.
+
+    `over_limit` is set on a connection that is accepted only to be refused.
+    """
 
-    def __init__(self, listener: Owner, sock: socket.socket, overflow: bool) -> None:
-        self.listener = listener
-        self.engine = listener.engine
+    def __init__(self, owner: Owner, sock: socket.socket, over_limit: bool) -> None:
+        self.owner = owner
+        self.engine = owner.engine
         self.sock = sock
-        self.overflow = overflow
-        self.parser: HttpRequestParser | None = HttpRequestParser(self)
-        self.incoming: Incoming | None = None
-        self.in_head = False
-        self.head_size = 0
-        self.ready: deque[Incoming] = deque()  # whole requests, in turn
-        self.early = bytearray()  # came as the process woke, and waits for discovery's news
-        self.unread = bytearray()  # what came while a request was under way
-        self.checked: Incoming | None = None  # whose client has ended its writing and may have gone
+        self.over_limit = over_limit
+        self.deferred = bytearray()  # received after the process was stopped; waits for discovery's updates
+        self.unread = bytearray()  # received while a request was under way
+        self.unconfirmed: IncomingRequest | None = None  # its client may have gone
         self.call: Call | None = None
-        self.flowing: Incoming | None = None  # the request under way, while its body still comes
-        self.passing: HttpAttempt | None = None  # whose answer goes to the client as it comes
-        self.flow_cost = 0  # taken from the budget for bodies
-        self.chunked = False
-        self.unframed = False  # the answer that is passed on is as long as the connection lasts
+        self.streamed_request: IncomingRequest | None = None  # under way, its body still comes
+        self.streamed_answer: HttpAttempt | None = None  # whose answer goes to the client as it comes
+        self.body_memory = BodyReservation(owner.transport.pool.memory)
         self.keep_alive = True
-        self.half_closed = False
-        self.version_sent = False
         self.closing = False
-        self.linger: asyncio.TimerHandle | None = None
-        self.swallowed = 0
         self.penalised = False
-        self.active_at = listener.loop.time()
+        self.active_at = owner.loop.time()
         self.usage = Usage(self.active_at)
-        self.waits_since = self.active_at  # for a whole request; 0: nothing is due
-        self.head_at = self.body_at = 0.0  # when the head was whole, when bytes of the body last came
-        self.unsent = 0
+        self.reader = RequestReader(self, self.active_at)
+        self.unsent = 0  # bytes in the write buffer at the last check
 
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own, of no common class
-        self.listener.connections.add(self)
-        self.listener.never_asked += 1
-        self.listener.accepted.discard(self.sock)
+        self.writer = ResponseWriter(self.transport)
+        self.presence = ClientPresence(self.sock, self.transport, self.writer, self.owner.loop)
+        self.lingering_close = LingeringClose(self.transport, self.owner)
+        self.owner.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        self.active_at = self.listener.loop.time()
-        if self.early or self.listener.hears_first(self.active_at):
-            if not self.early:
-                self.listener.loop.call_later(HEARS_FIRST_S, self._read_early)
-            self.early += data
+        self.active_at = self.owner.loop.time()
+        if self.deferred or self.owner.defers_reading(self.active_at):
+            if not self.deferred:
+                self.owner.loop.call_later(DEFERRED_READ_S, self._read_deferred)
+            self.deferred += data
             return
         self._read(data)
 
-    def _read_early(self) -> None:
-        """Read what came while the process stood still."""
-        data, self.early = bytes(self.early), bytearray()
+    def _read_deferred(self) -> None:
+        """Read what was deferred after the process was stopped."""
+        data, self.deferred = bytes(self.deferred), bytearray()
         if data and not self.transport.is_closing():
             self._read(data)
 
     def _read(self, data: bytes) -> None:
         if self.closing:
-            self.swallowed += len(data)
-            if self.swallowed > (BODY_MOST if self.flowing is not None else LINGER_BYTES):
-                self.transport.abort()
-        elif self.flowing is not None:
-            self._feed(data)
+            most = BODY_MOST if self.streamed_request is not None else LINGER_BYTES
+            self.lingering_close.swallow(len(data), most)
+        elif self.streamed_request is not None:
+            self._parse(data)
         elif self._has_request() or self.penalised:
             self.unread += data
-            if len(self.unread) > PIPELINED_LIMIT:
+            if len(self.unread) > MAX_UNREAD_BYTES:
                 self.transport.pause_reading()
         else:
-            self._feed(data)
+            self._parse(data)
 
     def eof_received(self) -> bool:
-        """The client writes no more; it may still read.
-
-        Whether it has gone away altogether shows only when something is written to it. Every answer
-        begins alike, so its beginning is sent now: a client that is gone answers with a reset.
-        """
-        if self.early:
-            self._read_early()
-        if (self.call is None and self.checked is None) or self.closing or self.flowing is not None:
+        """The client writes no more; it may still read."""
+        if self.deferred:
+            self._read_deferred()
+        if not self._has_begun_request() or self.closing or self.streamed_request is not None:
             return False
-        self._half_closes()
+        self.presence.half_close(self._check_gone)
         return True
 
-    def _half_closes(self) -> None:
-        self.half_closed = True
-        if not self.version_sent and not self.transport.is_closing():
-            self.version_sent = True
-            self.transport.write(VERSION)
-            self.listener.loop.call_later(HALF_CLOSED_CHECK_S, self._check_gone)
-
     def _check_gone(self) -> None:
-        if (self.call is not None or self.checked is not None) and not self.has_left():
-            incoming, self.checked = self.checked, None
-            if incoming is not None:
-                self._take(incoming)
+        if not self._has_begun_request() or self.has_left():
+            return
+        incoming, self.unconfirmed = self.unconfirmed, None
+        if incoming is not None:
+            self._handle(incoming)
 
     def has_left(self) -> bool:
-        """Whether the client is known to have gone; asked before anything more is sent for it.
-
-        Its end may lie unread in the kernel, where this process stood still or does not read just now. A
-        client that has only ended its writing still reads: that shows by what is written to it.
-        """
-        if not self.half_closed and self._has_ended_writing():
-            self._half_closes()
-        if not self.transport.is_closing() and is_reset(self.sock):
-            self.transport.abort()
-        return self.transport.is_closing()
-
-    def _has_ended_writing(self) -> bool:
-        if self.transport.is_closing():
-            return True
-        try:
-            return has_ended_writing(self.sock)
-        except OSError:  # a reset
-            self.transport.abort()
-            return True
+        """Whether the client is known to have gone; called before each further attempt for it."""
+        return self.presence.has_left(self._check_gone)
 
     def connection_lost(self, problem: Exception | None) -> None:
         self.closing = True
-        if self.linger is not None:
-            self.linger.cancel()
-        self.incoming = self.flowing = self.passing = self.checked = None
-        self._gives_memory_back()
-        self.ready.clear()
-        self.parser = None  # it holds this object: a cycle that only a full collection would free
+        self.lingering_close.cancel()
+        self.streamed_request = self.streamed_answer = self.unconfirmed = None
+        self.body_memory.release()
+        self.reader.close()
         call, self.call = self.call, None
         if call is not None:
             self.engine.left(call)
-        if not self.usage.asked:
-            self.listener.never_asked -= 1
-        self.listener.places.gone(self.usage, self.listener.loop.time())
-        self.listener.forget(self)
+        self.owner.forget(self)
 
-    # Reading
+    # Reading: the handler of the reader
 
-    def _feed(self, data: bytes) -> None:
-        if self.parser is None:
-            return
-        if not self.waits_since:
-            self.waits_since = self.active_at
-        if self.in_head or self.incoming is None:
-            self.head_size += len(data)
+    def _parse(self, data: bytes) -> None:
         try:
-            self.parser.feed_data(data)
-        except HttpParserUpgrade as upgrade:
-            # The offer of another protocol is declined by going on with this one.
-            self.parser = HttpRequestParser(self)
-            self.unread[:0] = data[upgrade.args[0] :]
-        except HttpParserError:
-            if not self.ready:
-                self._reject(400)
-                return
-            self.ready[-1].keep_alive = False  # answered first, then the connection ends
-        if self.in_head and self.head_size > HEAD_LIMIT:
-            self._reject(431)
-        elif self.incoming is not None and self.incoming.status and not self.ready:
-            self._reject(self.incoming.status)  # the rest of it need not be read
-        elif len(self.ready) > PIPELINED_MOST:
-            self._reject(400)
-        else:
-            self._next()
-            if self.incoming is not None and self._flow_waits():
-                self._begin_flow(self.incoming)
-
-    def on_message_begin(self) -> None:
-        self.incoming = Incoming()
-        self.in_head = True
-        self.waits_since = self.waits_since or self.active_at
-
-    def on_url(self, url: bytes) -> None:
-        assert self.incoming is not None
-        self.incoming.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        assert self.incoming is not None
-        if len(self.incoming.headers) < HEADERS_MOST:
-            self.incoming.headers.append((name, value.rstrip()))  # the parser leaves white space there
-        else:
-            self.incoming.status = 431
-
-    def on_headers_complete(self) -> None:
-        incoming = self.incoming
-        assert incoming is not None and self.parser is not None
-        self.in_head = False
-        self.head_at = self.body_at = self.active_at
-        expects = incoming.head_ends(self.parser.get_method(), self.head_size)
-        self.head_size = 0
-        if expects:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        incoming = self.incoming
-        assert incoming is not None
-        self.body_at = self.active_at
-        if incoming.status:
-            return
-        if incoming.flow is None and len(incoming.body) + len(body) > HELD_LIMIT:
-            incoming.flow = Body(self, incoming.length)
-            held, incoming.body = bytes(incoming.body), bytearray()
-            if held:
-                incoming.flow.came(held)
-        if incoming.flow is None:
-            incoming.body += body
+            rest = self.reader.feed(data, self.active_at)
+        except UnreadableRequest as unreadable:
+            self._reject_and_close(unreadable.status)
             return
-        incoming.flow.came(body)
-        if incoming.flow.size > BODY_MOST:
-            incoming.status = 413
-
-    def on_message_complete(self) -> None:
-        incoming, self.incoming = self.incoming, None
-        assert incoming is not None and self.parser is not None
-        incoming.keep_alive = self.parser.should_keep_alive()
-        self.waits_since = 0.0
-        if not self.usage.asked:
-            self.listener.never_asked -= 1
-        self.listener.places.asks(self.usage, self.active_at)
+        if rest:
+            self.unread[:0] = rest
+        self._handle_ready()
+        self._handle_long_body()
+
+    def continue_expected(self) -> None:
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def request_completed(self, incoming: IncomingRequest) -> None:
+        self.owner.request_received(self.usage, self.active_at)
         if incoming.flow is not None:
             incoming.flow.end()
-        if self.flowing is not incoming:
-            self.ready.append(incoming)
+        if self.streamed_request is not incoming:
+            self.reader.ready.append(incoming)
             return
-        self.flowing = None
+        self.streamed_request = None
         if self.call is not None:
             self.engine.whole(self.call)
 
-    # A body that is too long to be held
+    # Bodies that are too long to be buffered
 
-    def _begin_flow(self, incoming: Incoming) -> None:
-        """Take up a request whose body is still coming, once it is known to be long."""
-        if self.call is not None or self.ready or self.closing or self.penalised or self.parser is None:
+    def _handle_long_body(self) -> None:
+        """Handle a request whose body is still being received, once it is known to be long."""
+        incoming = self.reader.incoming
+        if incoming is None or not self.reader.has_long_body():
+            return
+        if self.call is not None or self.reader.ready or self.closing or self.penalised:
             return
-        self.keep_alive = self.parser.should_keep_alive()
-        self.flowing = incoming
-        self._take(incoming)
+        self.keep_alive = self.reader.should_keep_alive()
+        self.streamed_request = incoming
+        self._handle(incoming)
         if self.call is not None:
-            self._takes_memory()
-
-    def _takes_memory(self) -> None:
-        if not self.flow_cost:
-            self.flow_cost = FLOW_COST
-            self.listener.transport.pool.memory.grows(FLOW_COST)
-
-    def _gives_memory_back(self) -> None:
-        self.listener.transport.pool.memory.shrinks(self.flow_cost)
-        self.flow_cost = 0
+            self.body_memory.take()
 
     def pause_reading(self) -> None:
         if not self.transport.is_closing():
@@ -304,107 +178,97 @@
         if not self.transport.is_closing():
             self.transport.resume_reading()
 
-    def _end_flow(self) -> None:
-        """What still comes of a request is of no use: nobody waits for its answer any more."""
+    def _abandon_call(self) -> None:
+        """Fail the call whose request will not be received whole."""
         call, self.call = self.call, None
         if call is not None:
             self.engine.left(call, End.FAILED)
 
-    # A whole request
+    # Complete requests
 
-    def _next(self) -> None:
-        """Take up the next whole request, if there is one and none is under way."""
-        while self.ready and self._is_free():
-            incoming = self.ready.popleft()
+    def _handle_ready(self) -> None:
+        """Handle the next complete request, if there is one and none is under way."""
+        while self.reader.ready and self._is_free():
+            incoming = self.reader.ready.popleft()
             self.keep_alive = incoming.keep_alive
-            if self.listener.is_late() and self._has_ended_writing():
-                self.checked = incoming  # taken once it is known whether anybody waits for its answer
-                self._half_closes()
+            if self.owner.is_late() and self.presence.has_ended_writing():
+                self.unconfirmed = incoming  # handled once the client is known to be there
+                self.presence.half_close(self._check_gone)
             else:
-                self._take(incoming)
+                self._handle(incoming)
 
     def _is_free(self) -> bool:
-        """Whether the next request may be taken up."""
-        free = self.call is None and self.checked is None
-        return free and not self.closing and not self.penalised and not self.transport.is_closing()
+        """Whether the next request may be handled."""
+        if self._has_begun_request() or self.closing or self.penalised:
+            return False
+        return not self.transport.is_closing()
 
-    def _take(self, incoming: Incoming) -> None:
+    def _has_begun_request(self) -> bool:
+        """Whether a request is being handled, or waits until its client is known to be there."""
+        return self.call is not None or self.unconfirmed is not None
+
+    def _handle(self, incoming: IncomingRequest) -> None:
         if incoming.status:
-            self._turn_away(incoming.status)
+            self._answer_with_penalty(incoming.status)
             return
-        path = incoming.url.partition(b"?")[0]
-        if path.startswith(b"/-/"):
-            ready = path == b"/-/ready"
-            self._say(404 if not ready else 503 if self.listener.draining else 200)
+        status = local_status(incoming.url, self.owner.draining)
+        if status is not None:
+            self._answer_status(status)
             return
-        want = wanted(incoming, self.listener.classes)
-        if want is None:
-            self._turn_away(400)
-        elif self.overflow or (self.flowing is not None and self.listener.transport.pool.memory.full()):
-            self.engine.account.at_once(want.grade, End.REFUSED)
-            self._say(503)
-        else:
-            self.call = call = self._call(incoming, want)
-            if not self.engine.take(call):
-                self.call = None
-                self.engine.account.at_once(want.grade, End.FAILED)
-                self._turn_away(409)
-
-    def _call(self, incoming: Incoming, want: Wanted) -> Call:
-        request = HttpRequest(self, want.head, incoming.flow or incoming.body)
-        call = Call(self, want.call_id, self.listener.transport, request)
-        call.grade = want.grade
-        # No client waits longer than its class does; a larger figure would only hold memory.
-        call.budget = min(want.budget_ms * MS, self.engine.settings.grades[want.grade].deadline)
-        call.caller, call.tenant = want.caller, want.tenant
-        call.key, call.repeat = want.key, want.again
-        call.dedup_key = want.dedup_key
-        call.coming = incoming.flow is not None and not incoming.flow.whole
-        return call
-
-    # Answering: the engine's side of a call
+        head = head_of(incoming, self.owner.classes)
+        if head is None:
+            self._answer_with_penalty(400)
+            return
+        self._begin_call(incoming, head)
+
+    def _begin_call(self, incoming: IncomingRequest, head: RequestHead) -> None:
+        if self.over_limit or (self.streamed_request is not None and not self.body_memory.can_be_had()):
+            self.engine.account.at_once(head.request_class, End.REFUSED)
+            self._answer_status(503)
+            return
+        self.call = call_of(self, incoming, head, self.owner.transport, self.engine.settings)
+        if not self.engine.take(self.call):
+            self.call = None
+            self.engine.account.at_once(head.request_class, End.FAILED)
+            self._answer_with_penalty(409)
+
+    # Answers: the client of the engine's calls (engine/calls.py, net/transport.py)
 
     def served(self, answer: Answer) -> None:
         self._write_answer(200, b"".join(answer.body), answer.headers)
 
     def began(self, attempt: HttpAttempt, answer: Answer) -> None:
-        """The first part of an answer too long to be held; from here on it goes to the client as it comes."""
-        self.passing = attempt
-        self._takes_memory()
-        if answer.length is not None:
-            framing = b"Content-Length: %d" % answer.length
-        else:
-            self.chunked = self.parser is not None and self.parser.get_http_version() != "1.0"
-            framing = b"Transfer-Encoding: chunked" if self.chunked else b""
-            self.keep_alive = self.keep_alive and self.chunked
-        self.unframed = not framing
-        self.transport.write(self._head(200, answer.headers, framing))
+        """The first part of a streamed answer, which has status 200."""
+        self.streamed_answer = attempt
+        self.body_memory.take()
+        framing = framing_of(answer.length, self.reader.accepts_chunked())
+        if framing is BodyFraming.UNTIL_CLOSE:
+            self.keep_alive = False
+        self.writer.begin_body(answer.headers, framing, answer.length, self._decide_keep_alive())
 
     def more(self, data: bytes) -> None:
         if not self.transport.is_closing():
-            self.transport.write(chunk(data) if self.chunked else data)
+            self.writer.write_body(data)
 
     def ended(self) -> None:
         if not self.transport.is_closing():
-            if self.chunked:
-                self.transport.write(LAST_CHUNK)
-            self._answered()
+            self.writer.end_body()
+            self._answer_written()
 
     def broke(self) -> None:
-        """The rest of an answer will not come: the client can tell, for no end of it is written."""
+        """Abort: the rest of a streamed answer is missing, and the client can tell by its framing."""
         self.call = None
-        if self.unframed:
-            # Only a reset tells a client of an answer that is as long as the connection lasts.
-            reset_at_close(self.sock)
+        if self.writer.framing is BodyFraming.UNTIL_CLOSE:
+            reset_at_close(self.sock)  # to the client, an orderly close would be the end of the answer
         self.transport.abort()
 
     def pause_writing(self) -> None:
-        if self.passing is not None:
-            self.passing.pause()
+        if self.streamed_answer is not None:
+            self.streamed_answer.pause()
 
     def resume_writing(self) -> None:
-        if self.passing is not None:
-            self.passing.resume()
+        if self.streamed_answer is not None:
+            self.streamed_answer.resume()
 
     def refused(self, retry_after: int, over_share: bool) -> None:
         headers = [(b"Retry-After", b"%.3f" % (retry_after / 1e9))] if retry_after else []
@@ -413,177 +277,173 @@
     def failed(self, status: int) -> None:
         self._write_answer(status, b"", [])
 
-    def _say(self, status: int) -> None:
-        """An answer of this side's own, to what the engine does not see."""
+    def _answer_status(self, status: int) -> None:
+        """Answer a request that the engine does not see."""
         self._write_answer(status, b"", [])
 
-    def _turn_away(self, status: int) -> None:
-        """Answer a request that no endpoint may see; the connection's next one waits for a while."""
+    def _answer_with_penalty(self, status: int) -> None:
+        """Answer an invalid request; the next one on the connection is not read for a while."""
         self.penalised = True
         self.usage.turned_away += 1
-        self._say(status)
+        self._answer_status(status)
         if not self.closing and not self.transport.is_closing():
             self.transport.pause_reading()
-            self.listener.loop.call_later(PENALTY_S, self._end_penalty)
+            self.owner.loop.call_later(PENALTY_S, self._end_penalty)
 
     def _end_penalty(self) -> None:
         self.penalised = False
         if not self.transport.is_closing():
-            self._go_on()
+            self._continue_reading()
 
     def _write_answer(self, status: int, body: bytes, headers: list[Header]) -> None:
         if self.transport.is_closing():
             self.call = None
             return
-        if self.passing is not None:
+        if self.streamed_answer is not None:
             self.broke()
             return
-        head = self._head(status, headers, b"Content-Length: %d" % len(body))
-        self.transport.write(head + body)
-        self._answered()
+        self.writer.write_answer(status, headers, body, self._decide_keep_alive())
+        self._answer_written()
 
-    def _head(self, status: int, headers: list[Header], framing: bytes) -> bytes:
-        if self.half_closed or self.overflow or self.listener.draining or self.flowing is not None:
+    def _decide_keep_alive(self) -> bool:
+        """Decide whether the connection persists after the answer that is about to be written."""
+        if self.half_closed or self.over_limit or self.owner.draining or self.streamed_request is not None:
             self.keep_alive = False
-        elif self.keep_alive and not self.ready and not self.unread:
-            self.usage.since = self.listener.loop.time()
-            self.keep_alive = not self.listener.ends_with_answer(self)
-        rest = answer_head(status, headers, framing, self.keep_alive)
-        return rest if self.version_sent else VERSION + rest
-
-    def _answered(self) -> None:
-        self.call = self.passing = None
-        if self.flow_cost:
-            self._gives_memory_back()
-        self.version_sent = self.chunked = False
-        self.active_at = self.usage.since = self.listener.loop.time()
+        elif self.keep_alive and not self.reader.ready and not self.unread:
+            self.usage.since = self.owner.loop.time()
+            self.keep_alive = not self.owner.ends_with_answer(self)
+        return self.keep_alive
+
+    def _answer_written(self) -> None:
+        self.call = self.streamed_answer = None
+        self.body_memory.release()
+        self.writer.answer_ended()
+        self.active_at = self.usage.since = self.owner.loop.time()
         if not self.keep_alive:
-            self._linger(LINGER_FLOW_S if self.flowing is not None else LINGER_S)
-        elif (self.unread or self.ready or self._flow_waits()) and not self.penalised:
-            # Not at once: a client that sends ahead must not keep the others waiting.
-            self.listener.loop.call_soon(self._go_on)
+            self._close_lingering(LINGER_FLOW_S if self.streamed_request is not None else LINGER_S)
+        elif (self.unread or self.reader.ready or self.reader.has_long_body()) and not self.penalised:
+            # Not at once: a client that pipelines requests must not delay the others.
+            self.owner.loop.call_soon(self._continue_reading)
 
-    def _go_on(self) -> None:
+    def _continue_reading(self) -> None:
         if not self._is_free():
             return
-        if self.ready:
-            self._next()
+        if self.reader.ready:
+            self._handle_ready()
             return
         data, self.unread = bytes(self.unread), bytearray()
         self.transport.resume_reading()
         if data:
-            self._feed(data)
-        elif self.incoming is not None and self._flow_waits():
-            self._begin_flow(self.incoming)
-
-    def _flow_waits(self) -> bool:
-        """Whether a long body has begun to come behind a request; its reading may be paused since."""
-        return self.incoming is not None and self.incoming.flow is not None
+            self._parse(data)
+        else:
+            self._handle_long_body()  # reading may have paused in it behind the last request
 
-    def _reject(self, status: int) -> None:
-        """Answer what cannot be read any further, and close."""
+    def _reject_and_close(self, status: int) -> None:
+        """Answer a request that can't be read any further, and close."""
         self.keep_alive = False
-        if self.flowing is not None:
-            self._end_flow()
+        if self.streamed_request is not None:
+            self._abandon_call()
         else:
-            self._count_unheard()
-        self._say(status)
+            self._account_incomplete()
+        self._answer_status(status)
 
-    def _count_unheard(self) -> None:
-        """Enter a request that is answered before it was whole, where it names a class."""
-        grade = self.listener.classes.grades.get(self.incoming.named_class()) if self.incoming else None
-        if grade is not None:
-            self.engine.account.at_once(grade, End.FAILED)
+    def _account_incomplete(self) -> None:
+        """Account for a request that is answered before it was complete, where its class is known."""
+        if self.incoming is None:
+            return
+        request_class = self.owner.classes.grades.get(self.incoming.class_name())
+        if request_class is not None:
+            self.engine.account.at_once(request_class, End.FAILED)
 
-    def _linger(self, most_s: float) -> None:
-        """End this side's writing, and the connection once the client has ended its own."""
+    def _close_lingering(self, most_s: float) -> None:
+        """Close after the client's own end, or after `most_s` seconds (lingering_close.py)."""
         self.closing = True
         if self.transport.is_closing():
             return
         if self.half_closed:
-            self.transport.close()  # it has ended: nothing can come
+            self.transport.close()  # the client has ended its side already
             return
-        self.listener.lingers(self)
-        self.transport.resume_reading()
-        self.transport.write_eof()
-        self._linger_for(most_s)
+        self.owner.lingers(self)
+        self.lingering_close.begin(most_s)
 
-    def _linger_for(self, most_s: float) -> None:
-        until = min(self.listener.loop.time() + most_s, self.listener.lingers_until)
-        self.linger = self.listener.loop.call_at(until, self._end_linger)
+    # Managed by the listener (owner.py)
 
-    def _end_linger(self) -> None:
-        """Close, unless the client still takes its answer; one that stops is ended by `look_after`."""
-        if self.transport.get_write_buffer_size() and self.listener.loop.time() < self.listener.lingers_until:
-            self._linger_for(LINGER_S)
-        else:
-            self.transport.abort()
+    @property
+    def waits_since(self) -> float:
+        return self.reader.deadlines.waits_since
+
+    @property
+    def incoming(self) -> IncomingRequest | None:
+        """The request that is being received."""
+        return self.reader.incoming
 
-    # Looked after by the listener
+    @property
+    def half_closed(self) -> bool:
+        """Whether the client has ended its writing."""
+        return self.presence.half_closed
 
     def waits_for_request(self) -> bool:
-        """Whether nothing of a request has been seen yet."""
+        """Whether nothing of a request has been received yet."""
         busy = self._has_request() or self.incoming is not None or self.unread
         return not busy and not self.closing
 
     def _has_request(self) -> bool:
-        """Whether a whole request is under way or waits for its turn."""
-        return self.call is not None or self.checked is not None or bool(self.ready)
+        """Whether a complete request is being handled or waits for its turn."""
+        return self._has_begun_request() or bool(self.reader.ready)
 
     def is_idle(self) -> bool:
         if not self.waits_for_request():
             return False
         return not has_unread(self.sock) and not self.transport.get_write_buffer_size()
 
-    def is_new(self, now: float) -> bool:
-        """Whether its first request may be on its way."""
-        return not self.usage.asked and self.listener.places.may_be_asking(self.usage, now)
-
     def takes_room(self, now: float) -> bool:
-        """Whether it only takes up room: silent or slow, or turned away."""
+        """Whether it is silent or slow, or its last request was invalid."""
         if self.closing or self._has_request():
             return False
-        return self.penalised or (self.waits_since > 0.0 and now - self.waits_since >= FIRST_S)
+        silent = self.waits_since > 0.0 and now - self.waits_since >= FIRST_S
+        return self.penalised or silent
 
     def _is_overdue(self, now: float) -> bool:
-        incoming = self.incoming
-        if self.waits_since <= 0.0 or self.ready or self.closing:
+        if not self.reader.deadlines.is_waiting() or self.reader.ready or self.closing:
             return False
-        if self.call is not None and self.flowing is None:
+        if self.call is not None and self.streamed_request is None:
             return False
-        if incoming is None or self.in_head:
-            return now - self.waits_since > HEAD_S
-        size = incoming.flow.size if incoming.flow is not None else len(incoming.body)
-        earned = size / BODY_RATE
-        if incoming.flow is not None and incoming.flow.paused:  # by this side
-            self.body_at, self.head_at = now, max(self.head_at, now - earned)
-        return now - self.body_at > BODY_PAUSE_S or now - self.head_at > BODY_GRACE_S + earned
+        return self.reader.is_overdue(now)
 
     def look_after(self, now: float) -> None:
-        """End what does not go on: a request that is never finished, an answer that is never read."""
+        """End a request that is not received in time, an answer that is not read, an idle connection."""
         unsent = self.transport.get_write_buffer_size()
         if unsent:
-            if unsent != self.unsent:
-                self.active_at = now
-            elif now - self.active_at > STALL_S:
-                self.transport.abort()
+            self._check_write_progress(unsent, now)
         elif self._is_overdue(now):
-            if self.incoming is not None:
-                self._reject(408)
-            else:
-                self.stop_reading()
-        elif now - self.active_at > self.listener.calm_idle_s and self.is_idle():
+            self._end_overdue()
+        elif now - self.active_at > self.owner.calm_idle_s and self.is_idle():
             self.stop_reading()
         self.unsent = unsent
 
+    def _check_write_progress(self, unsent: int, now: float) -> None:
+        if unsent != self.unsent:
+            self.active_at = now
+        elif now - self.active_at > STALL_S:
+            self.transport.abort()
+
+    def _end_overdue(self) -> None:
+        if self.incoming is not None:
+            self._reject_and_close(408)
+        else:
+            self.stop_reading()
+
     def stop_reading(self) -> None:
-        """The end is near: what is not a whole request by now has not been taken."""
+        """Close, unless there is a complete request: one that is not complete has no effect yet."""
         if not self.closing and not self._has_request():
-            self._linger(LINGER_S)
+            self._close_lingering(LINGER_S)
+
+    def abort(self) -> None:
+        self.transport.abort()
 
     def make_room(self) -> None:
-        """End at once, where the descriptor is wanted for another."""
+        """Close at once, unless there is a complete request: the descriptor is needed."""
         if not self.closing and not self._has_request():
             self.closing = True
-            self.listener.leaving.add(self)
+            self.owner.closes(self)
             self.transport.close()
--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -10,18 +10,17 @@
 import contextlib
 import socket
 import time
-from typing import TYPE_CHECKING, cast
+from typing import Protocol, cast
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from garnethaven.addresses import Address
+from garnethaven.limits.budgets import AnswerMemory
 from garnethaven.net import flow
 from garnethaven.net.exchange import BODY_LIMIT, Answer, Exchange
 from garnethaven.net.flow import BODY_MOST, HELD_LIMIT, LAST_CHUNK, chunk
 from garnethaven.net.presence import has_unread, has_unread_bytes, unacknowledged_bytes
-
-if TYPE_CHECKING:
-    from garnethaven.net.upstream import Target
+from garnethaven.net.reuse import ReusePolicy
 
 # All that is not body together: 1xx answers ahead, the head, chunk sizes, trailers.
 FRAMING_LIMIT = 32 * 1024
@@ -33,10 +32,33 @@
 OK = 200
 
 
+class SharedPool(Protocol):
+    """What all connections of a pool share."""
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop: ...
+    @property
+    def memory(self) -> AnswerMemory: ...
+    @property
+    def reuse(self) -> ReusePolicy: ...
+
+
+class ConnectionOwner(Protocol):
+    """The target that a connection leads to (upstream.py)."""
+
+    @property
+    def pool(self) -> SharedPool: ...
+    def release(self, connection: Connection) -> None:
+        """Keep the connection for the next exchange."""
+
+    def forget(self, connection: Connection) -> None:
+        """The connection has ended."""
+
+
 class Connection(asyncio.Protocol):
     """One connection; carries one exchange at a time and goes back to its target's pool."""
 
-    def __init__(self, target: Target, address: Address, sock: socket.socket) -> None:
+    def __init__(self, target: ConnectionOwner, address: Address, sock: socket.socket) -> None:
         self.target = target
         self.address = address
         self.sock = sock
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -213,14 +213,11 @@
         return len(self.connections) + len(self.dials)
 
     def close_oldest_idle(self) -> bool:
-        oldest: Connection | None = None
-        for target in self.targets():
-            if target.idle and (oldest is None or target.idle[0].idle_since < oldest.idle_since):
-                oldest = target.idle[0]
-        if oldest is None:
+        holders = [target for target in self.targets() if target.idle]
+        if not holders:
             return False
-        oldest.target.idle.remove(oldest)
-        oldest.drop()
+        holder = min(holders, key=lambda target: target.idle[0].idle_since)
+        holder.idle.pop(0).drop()
         return True
 
     def expired(self) -> float:
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -11,7 +11,7 @@
 import pytest
 
 from garnethaven.engine.account import End
-from garnethaven.net import client
+from garnethaven.net import request_deadlines
 from garnethaven.net.flow import FLOW_COST, KEPT, RECEIVE_BUFFER
 from tests.loopback import ANSWER, Sidecar, request, run, running, says, until
 
@@ -269,7 +269,10 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", sidecar.port, limit=1024)
         writer.write(request())
         await until(
-            lambda: any(c.passing and c.passing.connection.paused for c in sidecar.listener.connections)
+            lambda: any(
+                one.streamed_answer and one.streamed_answer.connection.paused
+                for one in sidecar.listener.connections
+            )
         )
         (connection,) = sidecar.listener.connections
         assert connection.transport.get_write_buffer_size() <= 4 * RECEIVE_BUFFER
@@ -296,8 +299,8 @@
 def test_a_body_that_trickles_is_ended_and_its_endpoint_let_go(
     size: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(client, "BODY_GRACE_S", 0.4)
-    monkeypatch.setattr(client, "BODY_RATE", 10 * MB)
+    monkeypatch.setattr(request_deadlines, "BODY_GRACE_S", 0.4)
+    monkeypatch.setattr(request_deadlines, "BODY_RATE", 10 * MB)
 
     async def case() -> None:
         sidecar, (server,) = await before(reads)
