--- a/garnethaven/grpcs/transport.py
+++ b/garnethaven/grpcs/transport.py
@@ -71,6 +71,7 @@
         self.number = len(call.attempts)
         self.sent_at = now
         self.ends_at = now + limit
+        self.server = transport.engine.balancer.servers.get(endpoint)  # one that starts anew is another
         self.over = self.refused = False
         self.sent = False  # its headers have been written to a connection
         self.line: UpLine | None = None
@@ -90,6 +91,14 @@
         else:
             target.start(self)
 
+    def may_begin(self) -> bool:
+        """Whether what was decided before the wait for a connection still holds.
+
+        It does not once the request's time is over or the server has started anew: that one is cold.
+        """
+        server = self.transport.engine.balancer.servers.get(self.endpoint)
+        return server is self.server and time.monotonic_ns() < self.ends_at
+
     def give_up(self) -> bool:
         self.over = True
         line, self.line = self.line, None
@@ -262,6 +271,12 @@
         if not self.attempts:
             self._end()
 
+    def leave(self) -> None:
+        """Take nothing new; end once what is under way has."""
+        self.leaving = True
+        if not self.attempts:
+            self._end()
+
     def _end(self) -> None:
         self.leaving = True
         if self.transport is not None:
@@ -324,6 +339,8 @@
         if line is not None:
             self.lines.append(line)
             self.freed()
+            if self.transport.targets.get(self.endpoint) is not self:  # listed no more: nobody sweeps it
+                line.leave()
             return
         waiting, self.waiting = list(self.waiting), deque()
         for attempt in waiting:
@@ -340,7 +357,7 @@
             if not self.transport.may_use(self.endpoint, self.address):
                 self._abandon(Outcome.CONNECT_FAILED)
                 return
-            if time.monotonic_ns() >= self.waiting[0].ends_at:
+            if not self.waiting[0].may_begin():
                 late = self.waiting.popleft()
                 late.stream.lost(late, Outcome.SKIPPED)
                 continue
@@ -414,10 +431,8 @@
         for endpoint in [
             known for known, its in self.targets.items() if self.address_of(known) != its.address
         ]:
-            for line in self.targets.pop(endpoint).lines:
-                line.leaving = True
-                if not line.attempts:
-                    line._end()
+            for line in list(self.targets.pop(endpoint).lines):
+                line.leave()
 
     def close(self) -> None:
         for target in self.targets.values():
