Move the record of a pending request out of brain.py, under its standard name

`Held` decides nothing: it moves to records.py as `PendingRequest`, with the bound COMING_MOST that it uses; engine.py imports that from there. Nothing else changes.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -48,7 +48,7 @@
     Woke,
 )
 from garnethaven.limits.overload import Overload
-from garnethaven.records import Attempt, Many, Server
+from garnethaven.records import Attempt, Many, PendingRequest, Server
 from garnethaven.recovery.cold import COLD_PART, likely, warmth_of
 from garnethaven.turns import Turns
 
@@ -92,48 +92,9 @@
 FULL_SPREAD = 25  # sidecars whose calls to discovery need all the time that rules allow
 
 SECOND = 1_000_000_000
-COMING_MOST = 900 * SECOND  # for a request to be whole; who reads it bounds that far closer
 WATCH_TOKEN = 0  # the one timer that belongs to no request
 
 
-class Held:
-    """A request that still owes its client an answer."""
-
-    __slots__ = (
-        "aim_at",
-        "attempts",
-        "bound",
-        "coming",
-        "deadline",
-        "grade",
-        "grade_index",
-        "id",
-        "judged",
-        "key",
-        "over_share",
-        "tenant",
-    )
-
-    def __init__(self, request: Request, grade: Grade, now: int, elapsed: int) -> None:
-        self.id = request.id
-        self.grade = grade
-        self.grade_index = request.grade
-        self.deadline = now + request.budget
-        self.aim_at = now + grade.aim - elapsed  # the client's clock began with its first try
-        if not grade.late_value:
-            self.deadline = min(self.deadline, self.aim_at)  # later answers only take others' room
-        self.key = request.key
-        self.tenant = request.tenant
-        self.attempts: list[Attempt] = []
-        self.over_share = False  # turned away, and its tenant sends more than its share
-        self.judged = elapsed > 0  # counted as in time or late; a later try says little of the servers
-        self.bound = False  # a stream has begun: the attempt is the client's
-        self.coming = request.coming  # its body takes its time: that tells nothing of the servers
-        if request.coming:
-            self.aim_at = self.deadline = now + COMING_MOST
-            self.judged = True
-
-
 class Balancer:
     """One instance: feed it events through handle() and carry out the actions in order."""
 
@@ -166,7 +127,7 @@
         self.credit = [1.0] * len(settings.tenants)
         self.next_token = WATCH_TOKEN + 1
         self.timers: dict[int, str] = {}
-        self.held: dict[str, Held] = {}
+        self.held: dict[str, PendingRequest] = {}
         self.lasting = 0  # of these, streams that have begun: they may last, and are no queue
         self.handlers = {
             Request: self._on_request,
@@ -499,7 +460,7 @@
             if server.errors > 0.0:
                 self.many.moving[endpoint] = server
 
-    def _pick_of_many(self, held: Held) -> Server | None:
+    def _pick_of_many(self, held: PendingRequest) -> Server | None:
         assert self.many.turns is not None
         if self.many.touched or self.now >= self.many.look_at:
             self._reweigh_some()
@@ -512,7 +473,7 @@
         server = self.many.by_seat[seat]
         return server is not None and self._warmth(server) >= 1.0
 
-    def _some_of_many(self, held: Held) -> list[Server]:
+    def _some_of_many(self, held: PendingRequest) -> list[Server]:
         """Servers for a retry, drawn: the best of so many is good enough, and all of them are a long walk."""
         drawn = [self.pool[self.rng.randrange(len(self.pool))] for _ in range(DRAWN)]
         return [server for server in drawn if self._may_send(held, server)]
@@ -564,7 +525,7 @@
 
     # Pick
 
-    def _pick(self, held: Held) -> Server | None:
+    def _pick(self, held: PendingRequest) -> Server | None:
         """The ordinary path: smooth weighted round-robin over the selectable servers."""
         if self.now >= self.stale_at:
             self._reweigh()
@@ -615,7 +576,7 @@
             server.tally += server.weight
         chosen.tally -= 1.0
 
-    def _pick_retry(self, held: Held) -> Server | None:
+    def _pick_retry(self, held: PendingRequest) -> Server | None:
         """The healthiest server not yet tried, among those that may take this request."""
         if self.now >= self.stale_at:
             self._reweigh()
@@ -634,7 +595,7 @@
         self._charge(best)
         return best
 
-    def _once_more(self, held: Held) -> list[Server]:
+    def _once_more(self, held: PendingRequest) -> list[Server]:
         """The server tried last, where its answer was spoilt or lost and no other may take the request.
 
         It drops a repeat as its group does, and most often still has the answer. Guards small groups
@@ -658,7 +619,7 @@
     def _on_request(self, request: Request) -> None:
         grades = self.settings.grades
         grade = grades[request.grade] if 0 <= request.grade < len(grades) else UNKNOWN_GRADE
-        held = Held(request, grade, self.now, self._elapsed(request, grade))
+        held = PendingRequest(request, grade, self.now, self._elapsed(request, grade))
         self.held[held.id] = held
         if request.prior is not None:
             held.attempts.append(self._earlier(request.prior))
@@ -689,12 +650,12 @@
         attempt.open = False
         return attempt
 
-    def _set_timer(self, held: Held, at: int) -> None:
+    def _set_timer(self, held: PendingRequest, at: int) -> None:
         self.timers[self.next_token] = held.id
         self.out.append(SetTimer(self.next_token, max(0, at - self.now)))
         self.next_token += 1
 
-    def _copy_time(self, held: Held) -> int:
+    def _copy_time(self, held: PendingRequest) -> int:
         """When a second copy is due: late enough to be rare, early enough to come in time."""
         usual = self.usual.get(held.grade_index, 0.0)
         effect = held.grade.effect
@@ -704,7 +665,7 @@
             return 0
         return int(min(self.now + SLOW * usual, held.aim_at - usual))
 
-    def _send_copy(self, held: Held) -> None:
+    def _send_copy(self, held: PendingRequest) -> None:
         """Send a second copy of an overdue request, where its class allows and the budget lasts.
 
         A sidecar that meets a server twice a minute learns of its trouble from the request it loses
@@ -763,7 +724,7 @@
         if settings.streams_per_conn == 1 and self.overload.gap * len(self.pool) > settings.conn_idle > 0:
             self.out.append(CloseIdle(endpoint))
 
-    def _note_health(self, event: AttemptEnded, held: Held | None) -> None:
+    def _note_health(self, event: AttemptEnded, held: PendingRequest | None) -> None:
         server = self.servers.get(event.endpoint)
         if server is None or event.outcome in NO_FAULT:
             return
@@ -776,7 +737,7 @@
         elif held is None or event.attempt >= len(held.attempts) or not held.attempts[event.attempt].blamed:
             self._record_failure(server)
 
-    def _too_slow(self, server: Server, held: Held, duration: int) -> bool:
+    def _too_slow(self, server: Server, held: PendingRequest, duration: int) -> bool:
         """Whether an answer came far beyond its peers' time; learns that time on the way."""
         index = held.grade_index
         usual = self.usual.get(index, 0.0)
@@ -842,7 +803,7 @@
             self._judge(held, late=True)
             self._blame_open(held)
 
-    def _blame_open(self, held: Held) -> None:
+    def _blame_open(self, held: PendingRequest) -> None:
         """Count attempts still out past the aim against their servers now, not at the time-out."""
         for attempt in held.attempts:
             if attempt.open and not attempt.blamed:
@@ -852,7 +813,7 @@
                     self._learn_pace(attempt.server, max(1.0, held.grade.aim / usual))
                 self._record_failure(attempt.server)
 
-    def _forget(self, held: Held) -> None:
+    def _forget(self, held: PendingRequest) -> None:
         """The client has its answer: drop the request and withdraw what is still out."""
         del self.held[held.id]
         self.lasting -= held.bound or held.coming
@@ -863,14 +824,14 @@
 
     # Admission
 
-    def _judge(self, held: Held, late: bool) -> None:
+    def _judge(self, held: PendingRequest, late: bool) -> None:
         """Count a request once as in time or late, at its aim at the latest; steer refusals by it."""
         if held.judged:
             return
         held.judged = True
         self.overload.judged(self.now, late)
 
-    def _turned_away(self, held: Held, repeat: bool) -> bool:
+    def _turned_away(self, held: PendingRequest, repeat: bool) -> bool:
         """Refuse early, least worth first, when the servers can't keep up (limits/overload.py)."""
         worth = held.grade.worth
         over_share = self._over_share(held.tenant)
@@ -896,7 +857,7 @@
 
     # The choke point: everything sent or finished passes here, and the rules are kept here.
 
-    def _may_send(self, held: Held, server: Server) -> bool:
+    def _may_send(self, held: PendingRequest, server: Server) -> bool:
         """Whether the rules allow one more attempt of this request, at this server."""
         if self.now >= held.deadline or len(held.attempts) >= self.settings.max_attempts or held.bound:
             return False
@@ -914,7 +875,7 @@
             return False
         return self._same_group(held.grade.scope, ran[0].server, server) and self.now < self._ends_by(held)
 
-    def _ends_by(self, held: Held) -> int:
+    def _ends_by(self, held: PendingRequest) -> int:
         """When the next attempt has to be over: with the client's patience, so that no answer is late.
 
         A keyed request that may have run also within the window: a try that comes up late, or that is cut off
@@ -931,32 +892,32 @@
             return True
         return one.cell == other.cell if scope is Scope.CELL else one.zone == other.zone
 
-    def _may_refuse(self, held: Held) -> bool:
+    def _may_refuse(self, held: PendingRequest) -> bool:
         """A refusal tells the client that trying again is harmless; only then may it be said."""
         grade = held.grade
         if grade.effect is Effect.RETRYABLE or not any(a.may_have_run for a in held.attempts):
             return True
         return grade.effect is Effect.DEDUP and grade.scope is Scope.ALL
 
-    def _send_or_finish(self, held: Held, server: Server | None) -> None:
+    def _send_or_finish(self, held: PendingRequest, server: Server | None) -> None:
         if server is None or not self._may_send(held, server):
             self._finish(held)
         else:
             self._send(held, server)
 
-    def _send(self, held: Held, server: Server) -> None:
+    def _send(self, held: PendingRequest, server: Server) -> None:
         limit = self._ends_by(held) - self.now
         held.attempts.append(Attempt(server, self.now))
         self.out.append(Send(held.id, server.id, limit))
 
-    def _come_back(self, held: Held) -> int:
+    def _come_back(self, held: PendingRequest) -> int:
         """When a refused client should try again: soon enough to be served in time, not at once.
 
         What made this one be refused has hardly passed a moment later, and all come back together.
         """
         return min(self.settings.max_retry_after, max(0, held.aim_at - self.now) // RETRY_PART)
 
-    def _finish(self, held: Held) -> None:
+    def _finish(self, held: PendingRequest) -> None:
         refuse = self._may_refuse(held)
         refusal = Refuse(held.id, self._come_back(held), held.over_share)
         self.out.append(refusal if refuse else Fail(held.id))
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -25,7 +25,7 @@
 from itertools import count
 from typing import Any, Protocol
 
-from garnethaven.brain import COMING_MOST, Balancer
+from garnethaven.brain import Balancer
 from garnethaven.engine.account import Account, End
 from garnethaven.engine.calls import Attempt, Call
 from garnethaven.engine.spending import Spend, Spending
@@ -54,6 +54,7 @@
     TimerFired,
     Watch,
 )
+from garnethaven.records import COMING_MOST
 
 MS = 1_000_000
 S = 1_000_000_000
--- a/garnethaven/records.py
+++ b/garnethaven/records.py
@@ -1,12 +1,14 @@
-"""What the decision module remembers of servers and of what was sent to them; it decides nothing itself."""
+"""What the decision module remembers of servers, requests and attempts; it decides nothing itself."""
 
 from __future__ import annotations
 
 from zlib import crc32
 
-from garnethaven.interface import Endpoint
+from garnethaven.interface import Endpoint, Grade, Request
 from garnethaven.turns import Turns
 
+COMING_MOST = 900_000_000_000  # for a request to be whole; who reads it bounds that far closer
+
 
 class Server:
     """What this instance knows of one endpoint."""
@@ -67,6 +69,44 @@
         self.may_have_run = True  # until an outcome proves otherwise
 
 
+class PendingRequest:
+    """A request that still owes its client an answer."""
+
+    __slots__ = (
+        "aim_at",
+        "attempts",
+        "bound",
+        "coming",
+        "deadline",
+        "grade",
+        "grade_index",
+        "id",
+        "judged",
+        "key",
+        "over_share",
+        "tenant",
+    )
+
+    def __init__(self, request: Request, grade: Grade, now: int, elapsed: int) -> None:
+        self.id = request.id
+        self.grade = grade
+        self.grade_index = request.grade
+        self.deadline = now + request.budget
+        self.aim_at = now + grade.aim - elapsed  # the client's clock began with its first try
+        if not grade.late_value:
+            self.deadline = min(self.deadline, self.aim_at)  # later answers only take others' room
+        self.key = request.key
+        self.tenant = request.tenant
+        self.attempts: list[Attempt] = []
+        self.over_share = False  # turned away, and its tenant sends more than its share
+        self.judged = elapsed > 0  # counted as in time or late; a later try says little of the servers
+        self.bound = False  # a stream has begun: the attempt is the client's
+        self.coming = request.coming  # its body takes its time: that tells nothing of the servers
+        if request.coming:
+            self.aim_at = self.deadline = now + COMING_MOST
+            self.judged = True
+
+
 class Many:
     """The seats of many servers, where their turns are a tree's; empty while there are few."""
 
