Hold retries and hedges to a budget that closes when servers turn tries away

A deployment with queues of one to four does not come back from an overload: its servers turn tries away, and each retry and hedge finds another full server.

limits/retry_budget.py is a token bucket: an answer puts one in, a further attempt takes one out, a try turned away takes ten; below half none is allowed. A first attempt never asks, no class is the freer for it. Constants follow from the model: one try of twelve turned away is borne. A budget fed by 0.2 an answer was weighed: it also closes on lost zones, which no server's being full explains.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -48,6 +48,7 @@
     Woke,
 )
 from garnethaven.limits.overload import Overload
+from garnethaven.limits.retry_budget import RetryBudget
 from garnethaven.records import Attempt, Many, PendingRequest, Server
 from garnethaven.recovery.cold import COLD_PART, likely, warmth_of
 from garnethaven.turns import Turns
@@ -121,6 +122,7 @@
         self.half_life = max(1, settings.ramp_time)
         self.usual: dict[int, float] = {}  # time of a good answer, by grade
         self.overload = Overload(self.rng)
+        self.retry_budget = RetryBudget()
         self.pace: dict[int, float] = {}  # time of a kind's answers, as a multiple of the usual
         self.copies = 1.0  # second copies that may be sent
         self.patience: dict[int, int] = {}  # the longest time a client gave a try, by grade
@@ -576,6 +578,15 @@
             server.tally += server.weight
         chosen.tally -= 1.0
 
+    def _pick_further(self, held: PendingRequest) -> Server | None:
+        """A server for a retry or a hedge, where the retry budget allows one; it is booked."""
+        if not self.retry_budget.allows():
+            return None
+        server = self._pick_retry(held)
+        if server is not None:
+            self.retry_budget.spend()
+        return server
+
     def _pick_retry(self, held: PendingRequest) -> Server | None:
         """The healthiest server not yet tried, among those that may take this request."""
         if self.now >= self.stale_at:
@@ -673,7 +684,7 @@
         """
         if self.copies < 1.0 or self.overload.refused_share > 0.0 or len(held.attempts) != 1:
             return
-        server = self._pick_retry(held)
+        server = self._pick_further(held)
         if server is not None:
             self.copies -= 1.0
             self._send(held, server)
@@ -690,6 +701,10 @@
 
     def _on_attempt_ended(self, event: AttemptEnded) -> None:
         held = self.held.get(event.id)
+        if event.outcome is Outcome.DONE:
+            self.retry_budget.answered()
+        elif event.outcome is Outcome.BUSY:
+            self.retry_budget.turned_away()
         self._note_health(event, held)
         if held is None:
             return
@@ -711,7 +726,7 @@
         elif event.outcome is Outcome.BAD_REQUEST:
             self._finish(held)  # no other endpoint would find it better
         elif not any(attempt.open for attempt in held.attempts):
-            self._send_or_finish(held, self._pick_retry(held))
+            self._send_or_finish(held, self._pick_further(held))
 
     def _close_if_sparse(self, endpoint: int) -> None:
         """Close a connection that would most likely idle away unused.
--- /dev/null
+++ b/tests/limits/test_retry_budget.py
@@ -0,0 +1,113 @@
+"""The retry budget: it closes on tries that are turned away, and answers open it again."""
+
+from __future__ import annotations
+
+from garnethaven.limits.retry_budget import MAX_TOKENS, TURNED_AWAY_TOKENS, RetryBudget
+
+
+def play(budget: RetryBudget, turned_away_of_ten: int, rounds: int) -> tuple[int, int]:
+    """Tries, of which so many of ten are turned away, each of those tried once more; wanted and made."""
+    wanted = made = 0
+    for _ in range(rounds):
+        for turn in range(10):
+            if turn >= turned_away_of_ten:
+                budget.answered()
+                continue
+            budget.turned_away()
+            wanted += 1
+            if budget.allows():
+                budget.spend()
+                made += 1
+                budget.answered()
+    return wanted, made
+
+
+def test_it_begins_open_and_allows_half_of_its_tokens_at_once() -> None:
+    budget = RetryBudget()
+    made = 0
+    while budget.allows() and made <= MAX_TOKENS:
+        budget.spend()
+        made += 1
+    assert made == MAX_TOKENS / 2
+
+
+def test_asking_takes_nothing() -> None:
+    budget = RetryBudget()
+    for _ in range(100):
+        assert budget.allows()
+    assert budget.tokens == MAX_TOKENS
+
+
+def test_tries_turned_away_close_it_without_any_further_attempt() -> None:
+    budget = RetryBudget()
+    turned_away = 0
+    while budget.allows() and turned_away <= MAX_TOKENS:
+        budget.turned_away()
+        turned_away += 1
+    assert turned_away == 3  # half of the tokens, ten each
+
+
+def test_answers_open_it_again_however_many_were_turned_away() -> None:
+    budget = RetryBudget()
+    for _ in range(10_000):
+        budget.turned_away()
+    needed = 0
+    while not budget.allows() and needed <= MAX_TOKENS:
+        budget.answered()
+        needed += 1
+    assert needed == MAX_TOKENS / 2 + 1
+
+
+def test_answers_save_up_no_more_than_it_holds() -> None:
+    budget = RetryBudget()
+    for _ in range(10_000):
+        budget.answered()
+    assert budget.tokens == MAX_TOKENS
+
+
+def test_a_few_chance_meetings_at_short_queues_leave_it_open() -> None:
+    budget = RetryBudget()
+    for _ in range(1_000):
+        for _ in range(19):
+            budget.answered()
+        budget.turned_away()
+        assert budget.allows()
+        budget.spend()
+
+
+def test_full_servers_get_hardly_any_further_attempts() -> None:
+    wanted, made = play(RetryBudget(), turned_away_of_ten=5, rounds=1_000)
+    assert made < 0.02 * wanted
+
+
+def test_a_lost_zone_does_not_close_it_where_nobody_is_turned_away() -> None:
+    budget = RetryBudget()
+    for _ in range(1_000):  # four of ten tries fail and are made again
+        for _ in range(4):
+            assert budget.allows()
+            budget.spend()
+        for _ in range(6):
+            budget.answered()
+
+
+def test_without_tries_turned_away_there_is_one_further_attempt_an_answer_at_the_most() -> None:
+    budget = RetryBudget()
+    made = 0
+    for _ in range(10_000):
+        budget.answered()
+        for _ in range(3):
+            if budget.allows():
+                budget.spend()
+                made += 1
+    assert 10_000 <= made <= 10_000 + MAX_TOKENS
+
+
+def test_it_bears_one_try_of_twelve_turned_away() -> None:
+    for answers, holds in ((TURNED_AWAY_TOKENS + 2, True), (TURNED_AWAY_TOKENS, False)):
+        budget = RetryBudget()
+        budget.tokens = before = 0.75 * MAX_TOKENS
+        budget.turned_away()
+        budget.spend()
+        for _ in range(int(answers)):
+            budget.answered()
+        assert (budget.tokens > before) is holds
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -10,6 +10,7 @@
 
 from garnethaven.brain import FLOOR, MANY
 from garnethaven.interface import Endpoint, Fail, ListKind, Membership, Outcome, Refuse, State
+from garnethaven.limits.retry_budget import RetryBudget
 from tests.helpers import MS, SETTINGS, Driver, S, fleet, of, sends
 
 
@@ -136,6 +137,7 @@
 def test_retries_go_to_warm_servers_not_tried_and_a_keyed_one_stays_in_its_rack() -> None:
     driver = many(200)
     for _ in range(50):
+        driver.balancer.retry_budget = RetryBudget()  # where they go, not how many there may be
         (send,) = sends(driver.ask(grade=2))
         retries = sends(driver.end(send, Outcome.RESET))
         assert retries and all((one.endpoint - 1) // 2 == (send.endpoint - 1) // 2 for one in retries)
