Refuse unmarked retries that come too late for any worth, told by the time they have left

Some clients never mark a retry. One that comes after its aim, where late answers are worth nothing, then looked like a first try and got a server's whole time for nothing: while servers are short of room that is most of what keeps them short.

Clients give all first tries of a class the same time; a retry has less, cut by the class's deadline. As long as no client has marked a retry, and for one deadline after a request was left unserved, one with less time that is past its aim is refused at once. Such a refusal doesn't prolong that while, so clients with less time from the start are taken again after it (the last test).

Without the change two of the eight tests fail, and the last with them.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -67,6 +67,7 @@
 SPARE_SEATS = 8  # one seat in so many is left for newcomers
 DRAWN = 16  # servers that a retry chooses from among many
 SHARE_BURST = 4.0  # requests that a tenant may be ahead of its share
+NEVER = -(1 << 62)  # a time before any
 COPY_SHARE = 0.05  # second copies for each request, at the most
 COPY_BURST = 5.0  # copies that may be saved up
 PACE_MEMORY = 24  # answers over which the pace of a kind of machine is smoothed
@@ -126,6 +127,8 @@
         self.pace: dict[int, float] = {}  # time of a kind's answers, as a multiple of the usual
         self.copies = 1.0  # second copies that may be sent
         self.patience: dict[int, int] = {}  # the longest time a client gave a try, by grade
+        self.retries_marked = False  # a client has marked a retry: those that are not marked are none
+        self.unserved_at = NEVER  # when a request last ended without a good answer
         self.credit = [1.0] * len(settings.tenants)
         self.next_token = WATCH_TOKEN + 1
         self.timers: dict[int, str] = {}
@@ -637,7 +640,8 @@
         self.overload.arrives(self.now)
         self.copies = min(COPY_BURST, self.copies + COPY_SHARE)
         self.lasting += held.coming
-        if self._turned_away(held, request.repeat):
+        # A retry that comes too late for any worth would only take others' room.
+        if self.now >= held.deadline or self._turned_away(held, request.repeat):
             self._finish(held)
             return
         if not held.coming:
@@ -692,12 +696,21 @@
     def _elapsed(self, request: Request, grade: Grade) -> int:
         """How long the client has waited before this try, as far as its remaining time tells.
 
-        Clients give all first tries of a class the same time; less means the class's deadline cut it.
+        Clients give all first tries of a class the same time; less means the class's deadline cut it. Some
+        clients never mark a retry. As long as none has, one with less time is taken for a retry while a
+        request that this sidecar did not serve can still come again, and only where it comes too late for any
+        worth: to treat all such as marked ones cost more than it gave. It could do harm to a client that
+        gives a first try less time than others do, in that while.
         """
         most = max(self.patience.get(request.grade, 0), request.budget)
         self.patience[request.grade] = most
-        cut = request.repeat and request.budget < most
-        return max(0, grade.deadline - request.budget) if cut else 0
+        self.retries_marked = self.retries_marked or request.repeat
+        unmarked = not self.retries_marked and self.now - self.unserved_at < grade.deadline
+        if request.budget >= most or not (request.repeat or unmarked):
+            return 0
+        elapsed = max(0, grade.deadline - request.budget)
+        too_late = elapsed >= grade.aim and not grade.late_value
+        return elapsed if request.repeat or too_late else 0
 
     def _on_attempt_ended(self, event: AttemptEnded) -> None:
         held = self.held.get(event.id)
@@ -788,6 +801,7 @@
     def _on_client_left(self, event: ClientLeft) -> None:
         held = self.held.get(event.id)
         if held is not None:
+            self.unserved_at = self.now  # its client may have given up this try alone
             self._forget(held)
 
     def _on_stream_began(self, event: StreamBegan) -> None:
@@ -936,6 +950,8 @@
         refuse = self._may_refuse(held)
         refusal = Refuse(held.id, self._come_back(held), held.over_share)
         self.out.append(refusal if refuse else Fail(held.id))
+        if held.attempts or self.now < held.deadline:  # else it came too late: that must not go on by itself
+            self.unserved_at = self.now
         self._forget(held)
 
 
--- /dev/null
+++ b/tests/limits/test_unmarked_retries.py
@@ -0,0 +1,82 @@
+"""Clients that never mark a retry: one that comes too late for any worth is told by the time it has left."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from garnethaven.interface import ClientLeft, Outcome, Refuse
+from tests.helpers import MS, SAFE, SETTINGS, Driver, S, fleet, of, sends
+
+PROMPT = replace(SAFE, late_value=0.0)  # an answer after the aim is worth nothing
+LASTING = replace(SAFE, late_value=0.25)
+PROMPT_CLASS, LASTING_CLASS = 0, 1
+GIVEN = 1_600 * MS  # what clients give a first try, of a deadline of 2 s
+
+
+def sidecar() -> Driver:
+    driver = Driver(fleet(8), replace(SETTINGS, grades=(PROMPT, LASTING)))
+    for request_class in (PROMPT_CLASS, LASTING_CLASS):
+        driver.serve(grade=request_class, budget=GIVEN)
+    return driver
+
+
+def refuse_one(driver: Driver) -> None:
+    """Leave one request unserved, as where its server broke off and no further attempt is allowed."""
+    driver.balancer.retry_budget.tokens = 0.0
+    send = sends(driver.ask(budget=GIVEN))[0]
+    assert of(driver.end(send, Outcome.ERROR), Refuse)
+
+
+def test_one_past_its_aim_is_refused_and_takes_no_servers_room() -> None:
+    driver = sidecar()
+    refuse_one(driver)
+    actions = driver.ask(PROMPT_CLASS, budget=1_400 * MS)  # 0.6 s of its 2 s are over, the aim was 0.5 s
+    assert not sends(actions)
+    assert len(of(actions, Refuse)) == 1
+
+
+def test_one_before_its_aim_is_sent_as_a_first_try_is() -> None:
+    driver = sidecar()
+    refuse_one(driver)
+    driver.balancer.patience[PROMPT_CLASS] = 2 * S  # the clients give a try all its time
+    (send,) = sends(driver.ask(PROMPT_CLASS, budget=1_700 * MS))
+    assert send.limit == PROMPT.aim
+
+
+def test_one_whose_late_answer_has_worth_is_sent() -> None:
+    driver = sidecar()
+    refuse_one(driver)
+    assert sends(driver.ask(LASTING_CLASS, budget=1_400 * MS))
+
+
+def test_where_all_were_served_less_time_means_no_retry() -> None:
+    driver = sidecar()
+    assert sends(driver.ask(PROMPT_CLASS, budget=1_400 * MS))
+
+
+def test_where_the_last_unserved_is_past_its_deadline_less_time_means_no_retry() -> None:
+    driver = sidecar()
+    refuse_one(driver)
+    assert sends(driver.ask(PROMPT_CLASS, after=PROMPT.deadline, budget=1_400 * MS))
+
+
+def test_where_clients_mark_their_retries_an_unmarked_one_is_none() -> None:
+    driver = sidecar()
+    driver.ask(LASTING_CLASS, budget=1_500 * MS, repeat=True)
+    refuse_one(driver)
+    assert sends(driver.ask(PROMPT_CLASS, budget=1_400 * MS))
+
+
+def test_a_client_that_gave_its_try_up_may_come_again() -> None:
+    driver = sidecar()
+    send = sends(driver.ask(budget=GIVEN))[0]
+    driver.feed(ClientLeft(send.id), 300 * MS)
+    assert not sends(driver.ask(PROMPT_CLASS, budget=1_400 * MS))
+
+
+def test_refusing_those_that_come_too_late_does_not_go_on_by_itself() -> None:
+    driver = sidecar()
+    refuse_one(driver)
+    sent = [len(sends(driver.ask(PROMPT_CLASS, after=100 * MS, budget=1_400 * MS))) for _ in range(30)]
+    assert sent[:19] == [0] * 19  # up to the deadline of the one that was not served, 2 s
+    assert sent[19:] == [1] * 11
