Send no hedges from a sidecar that meets its servers often

Hedges were the cause: an overdue request is most often a heavy one, and its copy as heavy; five copies in a hundred requests were far more than five in a hundred of the work.

Hedges were made for a sidecar that meets a server twice a minute and learns of its trouble from the request that it loses there. One that meets it `HEDGE_MEETINGS` times in the half-life of an error (the ramp time of the settings) has learned of it by other requests.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -69,6 +69,7 @@
 SHARE_BURST = 4.0  # requests that a tenant may be ahead of its share
 NEVER = -(1 << 62)  # a time before any
 COPY_SHARE = 0.05  # second copies for each request, at the most
+HEDGE_MEETINGS = 4.0  # with a server in the half-life of an error: more, and its trouble is known by them
 COPY_BURST = 5.0  # copies that may be saved up
 PACE_MEMORY = 24  # answers over which the pace of a kind of machine is smoothed
 OWN_MEMORY = 64  # the same for one server; so many of its answers count as much as its kind
@@ -684,10 +685,14 @@
         """Send a second copy of an overdue request, where its class allows and the budget lasts.
 
         A sidecar that meets a server twice a minute learns of its trouble from the request it loses
-        there; the copy saves that request. The budget keeps copies from feeding an overload.
+        there; the copy saves that request. One that meets it several times before an error is forgotten
+        has learned of it already: what is overdue there is heavy, and its copy as heavy. The budget
+        keeps copies from feeding an overload.
         """
         if self.copies < 1.0 or self.overload.refused_share > 0.0 or len(held.attempts) != 1:
             return
+        if self._met() * self.half_life / SECOND >= HEDGE_MEETINGS:
+            return
         server = self._pick_further(held)
         if server is not None:
             self.copies -= 1.0
--- a/tests/limits/test_further_attempts.py
+++ b/tests/limits/test_further_attempts.py
@@ -99,6 +99,7 @@
         driver.balancer.copies = 5.0
         for _ in range(4):
             driver.serve(Outcome.DONE, after=1 * MS)
+        driver.balancer.overload.gap = 2 * S  # each server is met seldom: hedges have a use
         send = sends(driver.ask())[0]
         hedges = 0
         for token in sorted(driver.balancer.timers)[-2:]:
