Keep one call to discovery out at a time, and let a fetch go on as the watch

Cause: each fetch with no wait was followed by a watch that cost discovery a second call, and calls began every 1.5 s beside those that still waited (call_schedule.py, _begin_fetch and MAX_OPEN_CALLS): two and three calls for each sidecar where one is enough, so that an overloaded discovery stayed so.

Change: a fetch may wait for 20 ms and is thereby a watch to discovery, which the next call goes on with; one is out at a time, given up after 3 s; a call that was turned away is followed by a pause that grows to 4 s, one that failed otherwise by 2 s at the most. The schedule alone plans calls now, where the policy's timer was asked as well (the policy is unchanged).

--- a/garnethaven/membership/call_schedule.py
+++ b/garnethaven/membership/call_schedule.py
@@ -6,12 +6,22 @@
 the moment at which a watch is overdue; from a change of discovery's address. A suspect list is confirmed by
 the next sound answer and by nothing else, so that no call's end can lose the need for it.
 
-While the list is suspect, calls that discovery answers at once (`CallKind.FETCH`) begin one after another,
-also beside one that has no answer yet: a call may wait in discovery's queue, and giving it up for a new one
-would lose its place there. The pause between two of them is half of the time that is left until a change
-counts as known to this instance, between `min_fetch_interval_s` and `fetch_interval_s`. With the timing that
-`CallTiming.asked` gives, a change that was made as a call failed has been asked for after 1.5 s, 3.0 s,
-4.5 s and 5.25 s of the 6 s after which it counts as known.
+While the list is suspect, one call at a time that discovery answers at once (`CallKind.FETCH`) is out. A call
+may wait in discovery's queue, where a new one would begin at the end: it is given up only after
+`fetch_timeout_s`. The pause after one that failed depends on how it failed:
+
+- Refused, broken or without an answer: half of the time that is left until a change counts as known to this
+  instance, between `min_pause_s` and `pause_s`.
+- Turned away: discovery is down, or has more calls than it can work through. The pause is `pause_s`, and
+  grows with each such answer in a row up to `max_overload_pause_s`: with the time in the queue an instance
+  then calls once in 5 s. A fleet that began a call every 1.5 s, and two of them for each watch, kept
+  discovery overloaded for 15 s after its return.
+
+Pauses are drawn from their second half, or instances that failed together would call together.
+
+With the timing of `CallTiming.asked` a call that is lost without a sign leads to another one after
+3.0 + 2.0 s, and one that is turned away after 4.0 s at the most, of the 6 s after which a change counts as
+known.
 
 Once the list is confirmed a watch follows at once (a watch that begins within 0.2 s of the last answer costs
 discovery nothing).
@@ -25,7 +35,7 @@
 from enum import Enum
 from random import Random
 
-MAX_OPEN_CALLS = 3  # connections to discovery: a watch and two fetches, or three fetches
+MAX_OPEN_CALLS = 2  # connections to discovery: a watch and a fetch
 
 # A change that discovery has, and that it could be asked for, counts as known to an instance after this time.
 CHANGE_KNOWN_AFTER_SECONDS = 6.0
@@ -35,17 +45,22 @@
 # An instance that starts with the list of an earlier life may have missed changes of any age.
 CHANGE_KNOWN_AFTER_START_SECONDS = 2.0
 
-MAX_FETCH_INTERVAL_SECONDS = 1.5
-MIN_FETCH_INTERVAL_SECONDS = 0.5
+MAX_PAUSE_SECONDS = 2.0
+MIN_PAUSE_SECONDS = 0.5
+MAX_OVERLOAD_PAUSE_SECONDS = 4.0
+OVERLOAD_PAUSE_STEP_SECONDS = 1.0
+FULL_PAUSE_FLEET = 25  # instances from which on pauses are whole; fewer burden discovery less
 # A discovery that works through calls in turn answers after a wait. No such service seen so far lets a call
 # wait for longer than this before it turns it away.
 FETCH_TIMEOUT_SECONDS = 3.0
+# A call that may wait, however briefly, is a watch to discovery: the next one within 0.2 s goes on with it
+# and costs nothing, where one that may not wait would be followed by a second call that costs work.
+FETCH_WAIT_SECONDS = 0.02
 EARLY_WATCH_PAUSE_SECONDS = 0.1  # before the next watch, where one was answered at once without any change
 
-AGENT_FETCH_INTERVAL_SECONDS = 0.2  # an agent is on this machine, and what it has counts as known at once
-AGENT_FETCH_TIMEOUT_SECONDS = 0.4
-AGENT_RETRY_SECONDS = 0.1
-RETRY_SECONDS = 0.5  # after a refused or broken call to a new address, or an answer that was behind
+AGENT_PAUSE_SECONDS = 0.1  # an agent is on this machine, and what it has counts as known at once
+AGENT_FETCH_TIMEOUT_SECONDS = 0.25
+RETRY_SECONDS = 0.5  # after a failed call to a new address, or an answer that was behind
 
 
 class CallKind(Enum):
@@ -76,20 +91,27 @@
 CallAction = BeginCall | AbandonCall
 
 
+class Failure(Enum):
+    """How a call ended without an answer that holds."""
+
+    BROKEN = "refused, reset or unanswered"
+    TURNED_AWAY = "answered with an error: overload, or discovery is down"
+    BEHIND = "answered with an older list than the known one"
+
+
 @dataclass(slots=True, frozen=True)
 class CallTiming:
     """The intervals of one instance, in seconds."""
 
     overdue_s: float  # after the end of its wait a watch without an answer is overdue
     fetch_timeout_s: float
-    fetch_interval_s: float
-    min_fetch_interval_s: float
-    retry_s: float  # after a refused or broken call, where calls may follow one another quickly
-    quick_retries: bool  # whether that holds for every call: a failed one costs nothing
+    pause_s: float
+    min_pause_s: float
+    max_overload_pause_s: float
 
     @classmethod
-    def asked(cls, overdue_s: float, ask_within_s: float) -> CallTiming:
-        """For a discovery service that all instances share.
+    def asked(cls, overdue_s: float, ask_within_s: float, fleet_size: int) -> CallTiming:
+        """For a discovery service that `fleet_size` instances share.
 
         `ask_within_s` is the time after which an instance that has not asked counts as having been told; 0
         where the settings do not say.
@@ -97,26 +119,25 @@
         known_after_s = CHANGE_KNOWN_AFTER_SECONDS
         if ask_within_s > 0.0:
             known_after_s = min(known_after_s, ask_within_s)
-        interval_s = min(MAX_FETCH_INTERVAL_SECONDS, known_after_s / 4)
+        scale = known_after_s / CHANGE_KNOWN_AFTER_SECONDS
+        part = min(1.0, fleet_size / FULL_PAUSE_FLEET)
         return cls(
             overdue_s=overdue_s,
-            fetch_timeout_s=FETCH_TIMEOUT_SECONDS,
-            fetch_interval_s=interval_s,
-            min_fetch_interval_s=min(MIN_FETCH_INTERVAL_SECONDS, interval_s),
-            retry_s=RETRY_SECONDS,
-            quick_retries=False,
+            fetch_timeout_s=FETCH_TIMEOUT_SECONDS * scale,
+            pause_s=max(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS * part) * scale,
+            min_pause_s=MIN_PAUSE_SECONDS * scale,
+            max_overload_pause_s=max(MIN_PAUSE_SECONDS, MAX_OVERLOAD_PAUSE_SECONDS * part) * scale,
         )
 
     @classmethod
     def pushed(cls, overdue_s: float) -> CallTiming:
-        """For an agent on this machine, to which lists are pushed."""
+        """For an agent on this machine, to which lists are pushed: a call to it costs nothing."""
         return cls(
             overdue_s=overdue_s,
             fetch_timeout_s=AGENT_FETCH_TIMEOUT_SECONDS,
-            fetch_interval_s=AGENT_FETCH_INTERVAL_SECONDS,
-            min_fetch_interval_s=AGENT_FETCH_INTERVAL_SECONDS,
-            retry_s=AGENT_RETRY_SECONDS,
-            quick_retries=True,
+            pause_s=AGENT_PAUSE_SECONDS,
+            min_pause_s=AGENT_PAUSE_SECONDS,
+            max_overload_pause_s=AGENT_PAUSE_SECONDS,
         )
 
 
@@ -147,7 +168,7 @@
     next_watch_at: float = 0.0
     needs_full_list: bool = False
     moved: bool = False  # to an address that has not answered yet
-    behind: bool = False  # the last answer was older than the known list
+    turned_away: int = 0  # calls in a row that were
     confirmed_at: float | None = None
     started: bool = False
     call_count: int = 0
@@ -173,20 +194,20 @@
 
     def ask(self, now: float, full: bool = False) -> list[CallAction]:
         """Somebody wants a fresh list now: fetch it, unless a fetch is out already."""
-        self.started = True
         self.needs_full_list = self.needs_full_list or full
-        if any(call.kind is CallKind.FETCH for call in self.open_calls.values()):
-            return self.advance(now)
-        return [self._begin_fetch(now), *self.advance(now)]
+        if self._is_fetching():
+            return []
+        return [self._begin(now, CallKind.FETCH, FETCH_WAIT_SECONDS), *self.advance(now)]
 
     def answered(self, now: float, number: int, changed: bool) -> list[CallAction]:
         """A call was answered with a list that holds; `changed` tells whether it brought anything new."""
         call = self.open_calls.pop(number, None)
         if call is None:
             return []
-        if call.kind is CallKind.FETCH:
+        if call.full:
             self.needs_full_list = False
-        self.moved = self.behind = False
+        self.moved = False
+        self.turned_away = 0
         self.confirmed_at = now
         self.suspect_since = None
         early = (
@@ -195,20 +216,16 @@
         self.next_watch_at = now + EARLY_WATCH_PAUSE_SECONDS if early else now
         return [*self._abandon_needless(now), *self.advance(now)]
 
-    def answered_behind(self, now: float, number: int) -> list[CallAction]:
-        """A call was answered with an older list than the known one: the full list has to tell."""
-        self.needs_full_list = self.behind = True
-        return self.failed(now, number)
-
-    def failed(self, now: float, number: int) -> list[CallAction]:
+    def failed(self, now: float, number: int, failure: Failure = Failure.BROKEN) -> list[CallAction]:
         """A call has ended without an answer that holds, whatever its kind."""
         if self.open_calls.pop(number, None) is None:
             return []
-        if self.suspect_since is None:
-            self._suspect(now, now + CHANGE_KNOWN_AFTER_SECONDS)
-            self._plan_fetch(now)
-        if self.moved or self.behind or self.timing.quick_retries:
-            self.next_fetch_at = min(self.next_fetch_at, now + self.timing.retry_s)
+        if failure is Failure.BEHIND:
+            self.needs_full_list = True
+        self.turned_away = self.turned_away + 1 if failure is Failure.TURNED_AWAY else 0
+        self._suspect(now, now + CHANGE_KNOWN_AFTER_SECONDS)
+        pause_s = self._pause_s(now, failure)
+        self.next_fetch_at = now + pause_s * (1.0 - 0.5 * self.rng.random())
         return self.advance(now)
 
     @property
@@ -226,7 +243,7 @@
         due = [self._ends_at(call) for call in self.open_calls.values()]
         watch = self._watch()
         if self.suspect_since is not None:
-            if len(self.open_calls) < MAX_OPEN_CALLS:
+            if not self._is_fetching():
                 due.append(self.next_fetch_at)
         elif watch is None:
             due.append(self.next_watch_at)
@@ -248,8 +265,8 @@
             self._suspect(now, watch.began_at + watch.wait_s + CHANGE_KNOWN_AFTER_WATCH_SECONDS)
             self.next_fetch_at = now
         if self.suspect_since is not None:
-            if now >= self.next_fetch_at and len(self.open_calls) < MAX_OPEN_CALLS:
-                actions.append(self._begin_fetch(now))
+            if now >= self.next_fetch_at and not self._is_fetching():
+                actions.append(self._begin(now, CallKind.FETCH, FETCH_WAIT_SECONDS))
         elif watch is None and now >= self.next_watch_at:
             actions.append(self._begin(now, CallKind.WATCH, self.watch_wait_s))
         return actions
@@ -261,18 +278,20 @@
             self.suspect_since = now
             self.known_at = known_at
 
-    def _plan_fetch(self, now: float) -> None:
-        """Plan the next fetch by the time that is left; drawn, or all instances would ask together."""
+    def _pause_s(self, now: float, failure: Failure) -> float:
+        """The longest pause after a call that failed."""
         timing = self.timing
-        interval_s = (self.known_at - now) / 2
-        interval_s = min(timing.fetch_interval_s, max(timing.min_fetch_interval_s, interval_s))
+        if self.moved or failure is Failure.BEHIND:
+            return min(RETRY_SECONDS, timing.pause_s)
+        if failure is Failure.TURNED_AWAY:
+            longer_s = OVERLOAD_PAUSE_STEP_SECONDS * (self.turned_away - 1)
+            return min(timing.max_overload_pause_s, timing.pause_s + longer_s)
         if now >= self.known_at:
-            interval_s = timing.fetch_interval_s
-        self.next_fetch_at = now + interval_s * (1.0 - 0.2 * self.rng.random())
+            return timing.pause_s
+        return min(timing.pause_s, max(timing.min_pause_s, (self.known_at - now) / 2))
 
-    def _begin_fetch(self, now: float) -> BeginCall:
-        self._plan_fetch(now)
-        return self._begin(now, CallKind.FETCH, 0.0)
+    def _is_fetching(self) -> bool:
+        return any(call.kind is CallKind.FETCH for call in self.open_calls.values())
 
     def _begin(self, now: float, kind: CallKind, wait_s: float) -> BeginCall:
         self.call_count += 1
--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -16,7 +16,7 @@
 from garnethaven.config import Config
 from garnethaven.engine.engine import Engine, S
 from garnethaven.engine.spending import Spend
-from garnethaven.interface import ListKind, Membership, Outcome
+from garnethaven.interface import ListKind, Outcome
 from garnethaven.limits.budgets import AnswerMemory, max_list_bytes
 from garnethaven.limits.lists import FULL_FLEET, WAIT_MOST_S, Evidence, FreshList, Verdict
 from garnethaven.membership.call_schedule import (
@@ -27,6 +27,7 @@
     CallKind,
     CallSchedule,
     CallTiming,
+    Failure,
 )
 from garnethaven.membership.list_reader import Entries, ListError, ListReader
 from garnethaven.net.exchange import Answer, Exchange
@@ -112,7 +113,10 @@
         )
         ask_within_s = config.settings.ask_within / S
         double_s = self.fresh.double_s
-        timing = CallTiming.pushed(double_s) if self.pushed else CallTiming.asked(double_s, ask_within_s)
+        if self.pushed:
+            timing = CallTiming.pushed(double_s)
+        else:
+            timing = CallTiming.asked(double_s, ask_within_s, config.settings.fleet_size)
         self.schedule = CallSchedule(timing, self.fresh.wait_s, Random(config.seed))
         self.calls: dict[int, ListCall] = {}  # by number: those that have neither been answered nor ended
         self.alarm: asyncio.TimerHandle | None = None  # when the schedule wants to advance
@@ -160,9 +164,7 @@
 
     def watch(self) -> None:
         """The module wants a fresh list."""
-        self.owes_news = True
-        if not self.schedule.is_confirmed:
-            self._carry_out(self.schedule.ask(self.loop.time()))
+        self.owes_news = True  # the schedule sees to it that there are some
 
     # Calls out of turn
 
@@ -246,13 +248,10 @@
         """A call has ended without an answer."""
         if self.calls.pop(call.number, None) is not None:
             self._log(call.failure)
-            self._failed(self.schedule.failed(self.loop.time(), call.number))
+            self._failed(call, Failure.BROKEN)
 
-    def _failed(self, actions: list[CallAction]) -> None:
-        """Carry out what follows a failed call, and let the module plan the next one where none is out."""
-        self._carry_out(actions)
-        if not self.calls and not self.pushed and not self.schedule.moved:
-            self.engine.post(Membership(ListKind.FAILED))
+    def _failed(self, call: ListCall, failure: Failure) -> None:
+        self._carry_out(self.schedule.failed(self.loop.time(), call.number, failure))
         self._ask_again()
 
     def told(self, call: ListCall, answer: Answer) -> None:
@@ -265,14 +264,14 @@
             listed = self.reader.read_list(b"".join(answer.body))
         except ListError as problem:
             self._log(str(problem))
-            self._failed(self.schedule.failed(now, call.number))
+            self._failed(call, Failure.TURNED_AWAY)
             return
         revision, complete, entries = listed.revision, listed.complete, listed.entries
         verdict = self.fresh.judge(now, revision, complete, len(entries))
         self.told_empty = not entries and (verdict is Verdict.TAKE_AND_ASK or self.told_empty)
         if verdict is Verdict.PASS_OVER:
             self._log(f"revision {revision} is behind {self.fresh.revision}, passed over")
-            self._carry_out(self.schedule.answered_behind(now, call.number))
+            self._failed(call, Failure.BEHIND)
             return
         if listed.flaws:
             self._log(listed.problems())
