Pause for 2 s at the most after a call to discovery that was turned away

Calls that are turned away cost that discovery nothing (in the trace its queue is empty at once), so that the growth helped nobody. Change: 0.5 to 1 s after the first such answer in a row, 1 to 2 s after the next ones.

--- a/garnethaven/membership/call_schedule.py
+++ b/garnethaven/membership/call_schedule.py
@@ -12,15 +12,16 @@
 
 - Refused, broken or without an answer: half of the time that is left until a change counts as known to this
   instance, between `min_pause_s` and `pause_s`.
-- Turned away: discovery is down, or has more calls than it can work through. The pause is `pause_s`, and
-  grows with each such answer in a row up to `max_overload_pause_s`: with the time in the queue an instance
-  then calls once in 5 s. A fleet that began a call every 1.5 s, and two of them for each watch, kept
-  discovery overloaded for 15 s after its return.
+- Turned away: discovery is down, or has more calls than it can work through. The pause is half of `pause_s`
+  after the first such answer in a row, for a burst is over soon, and `pause_s` from then on. Longer ones
+  would outlast the time after which a change counts as known. What kept an overloaded discovery from
+  answering anybody for 15 s were two calls where one is enough: a fetch and then a watch, and new ones
+  every 1.5 s.
 
 Pauses are drawn from their second half, or instances that failed together would call together.
 
 With the timing of `CallTiming.asked` a call that is lost without a sign leads to another one after
-3.0 + 2.0 s, and one that is turned away after 4.0 s at the most, of the 6 s after which a change counts as
+3.0 + 2.0 s, and one that is turned away after 2.0 s at the most, of the 6 s after which a change counts as
 known.
 
 Once the list is confirmed a watch follows at once (a watch that begins within 0.2 s of the last answer costs
@@ -47,8 +48,6 @@
 
 MAX_PAUSE_SECONDS = 2.0
 MIN_PAUSE_SECONDS = 0.5
-MAX_OVERLOAD_PAUSE_SECONDS = 4.0
-OVERLOAD_PAUSE_STEP_SECONDS = 1.0
 FULL_PAUSE_FLEET = 25  # instances from which on pauses are whole; fewer burden discovery less
 # A discovery that works through calls in turn answers after a wait. No such service seen so far lets a call
 # wait for longer than this before it turns it away.
@@ -107,7 +106,6 @@
     fetch_timeout_s: float
     pause_s: float
     min_pause_s: float
-    max_overload_pause_s: float
 
     @classmethod
     def asked(cls, overdue_s: float, ask_within_s: float, fleet_size: int) -> CallTiming:
@@ -126,7 +124,6 @@
             fetch_timeout_s=FETCH_TIMEOUT_SECONDS * scale,
             pause_s=max(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS * part) * scale,
             min_pause_s=MIN_PAUSE_SECONDS * scale,
-            max_overload_pause_s=max(MIN_PAUSE_SECONDS, MAX_OVERLOAD_PAUSE_SECONDS * part) * scale,
         )
 
     @classmethod
@@ -137,7 +134,6 @@
             fetch_timeout_s=AGENT_FETCH_TIMEOUT_SECONDS,
             pause_s=AGENT_PAUSE_SECONDS,
             min_pause_s=AGENT_PAUSE_SECONDS,
-            max_overload_pause_s=AGENT_PAUSE_SECONDS,
         )
 
 
@@ -284,8 +280,7 @@
         if self.moved or failure is Failure.BEHIND:
             return min(RETRY_SECONDS, timing.pause_s)
         if failure is Failure.TURNED_AWAY:
-            longer_s = OVERLOAD_PAUSE_STEP_SECONDS * (self.turned_away - 1)
-            return min(timing.max_overload_pause_s, timing.pause_s + longer_s)
+            return timing.pause_s / 2 if self.turned_away == 1 else timing.pause_s
         if now >= self.known_at:
             return timing.pause_s
         return min(timing.pause_s, max(timing.min_pause_s, (self.known_at - now) / 2))
