--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -1,7 +1,8 @@
 """The endpoint list: read from discovery, kept up to date by a watch.
 
-One call watches; another may go out of turn, for the whole list, where the watch is overdue or what servers
-do contradicts the list. How long, when and what to believe is decided in `limits/lists.py`.
+`membership/call_schedule.py` decides when to call; `limits/lists.py` how long a watch waits, when what servers
+do contradicts the list, and which answer to believe; `membership/list_reader.py` reads a list. Here are the
+calls themselves.
 """
 
 from __future__ import annotations
@@ -77,6 +78,8 @@
 
 
 class Discovery:
+    """One instance's client of discovery, or of an agent to which lists are pushed."""
+
     def __init__(
         self,
         config: Config,
