--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -1,8 +1,8 @@
 """The endpoint list: read from discovery, kept up to date by a watch.
 
-`membership/call_schedule.py` decides when to call; `limits/lists.py` how long a watch waits, when what servers
-do contradicts the list, and which answer to believe; `membership/list_reader.py` reads a list. Here are the
-calls themselves.
+`membership/call_schedule.py` decides when to call; `limits/lists.py` how long a watch waits, when what
+servers do contradicts the list, and which answer to believe; `membership/list_reader.py` reads a list. Here
+are the calls themselves.
 """
 
 from __future__ import annotations
