Weigh all servers anew when the own zone's change, also where they are many

A trace of all sends to servers that have just started, with the weights that stood then: at nearly every sidecar of the lost zone the weights of all 126 servers summed up to 0.007, all of it the one cold server's, the first of 24 that came back: the factor of those away from home was 0.000. Cause: while a zone can carry all of its traffic the others weigh nothing (_favour_home). With more than 64 servers a change of the list touches its own server only (_reseat), and the factor stays until all are weighed anew, up to half of a ramp later: 12 s. A sidecar whose zone has gone had no server of any weight, refused what came, and gave the first server that came back all of it. Ruled out: stale lists (all senders had been told of the start), retries (all were first attempts), the peers' penalties (2 to 4 of 126 had any; in pure time a jam doubles a newcomer's part), the retry budget (with a trace, the same).

Change: a server of the own zone that comes, goes or changes has all weighed anew at the next look, a fiftieth of a ramp later at the latest, where crossing zones has a price. Many changes at once cost one walk.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -79,9 +79,8 @@
 REFRESHES = 50  # weights are recomputed this many times in a ramp, no oftener: they change slowly
 QUIET_REFRESHES = 8  # the same while nobody is cold or penalised
 
-# Outcomes that tell nothing of the server. A request that is at fault would have it left out, and so would
-# kept connections that end early, most of all a server that is seldom asked: the less it got the more of
-# them had ended. A server that has died refuses the next connection, and that counts.
+# Outcomes that tell nothing of the server. Kept connections that end early would have one left out that is
+# seldom asked: the less it got the more of them had ended. One that has died refuses the next connection.
 NO_FAULT = frozenset({Outcome.CANCELLED, Outcome.SKIPPED, Outcome.BAD_REQUEST, Outcome.STALE})
 RETRY_PART = 3  # of the time left to the aim, after which a refused client should come back
 # Of a window, in which a repeat has to arrive and end; the rest is for its way there. It would do harm to
@@ -421,6 +420,13 @@
         server = self.servers.get(endpoint)
         at = bisect_left(self.pool, endpoint, key=lambda one: one.id)
         there = at < len(self.pool) and self.pool[at].id == endpoint
+        changed = self.pool[at] if there else server
+        if (
+            changed is not None
+            and changed.zone == self.settings.zone
+            and self.settings.cross_zone_price > 0.0
+        ):
+            self.stale_at = min(self.stale_at, self.many.look_at)  # home carries another part of the whole
         if server is None or not self._selectable(server):
             if there:
                 del self.pool[at]
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -165,3 +165,54 @@
             keyed[send.endpoint] += 1
         driver.end(send, Outcome.DONE, after=0)
     assert max(keyed.values()) >= 8  # 200 requests over 256 servers: less than one each by turns alone
+
+
+HOME = 75
+
+
+def two_zones(seed: int) -> Driver:
+    """75 servers at home, which carry all of its traffic, and as many in the other zone."""
+    servers = tuple(Endpoint(n, zone=int(n > HOME), cell=n // 2) for n in range(1, 2 * HOME + 1))
+    settings = replace(
+        SETTINGS, fleet_size=200, cross_zone_price=0.1, zone=0, ramp_time=24 * S, cold_share=0.2
+    )
+    driver = Driver(servers, settings, seed)
+    for _ in range(200):
+        send = sends(driver.ask(after=10 * MS))[0]
+        assert send.endpoint <= HOME
+        driver.end(send, Outcome.DONE, after=0)
+    return driver
+
+
+def lose_home(driver: Driver) -> None:
+    for first in (1, 40):  # in two parts: fewer than `MANY` each
+        last = min(HOME, first + 38)
+        gone = tuple(Endpoint(n, zone=0, state=State.REMOVED) for n in range(first, last + 1))
+        driver.feed(Membership(ListKind.DELTA, gone), after=200 * MS)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_sidecar_whose_whole_zone_leaves_the_list_sends_to_the_others(seed: int) -> None:
+    driver = two_zones(seed)
+    lose_home(driver)
+    driver.now += S // 2
+    counts: Counter[int] = Counter()
+    for _ in range(4 * HOME):
+        send = sends(driver.ask(after=MS))[0]
+        counts[send.endpoint] += 1
+        driver.end(send, Outcome.DONE, after=0)
+    assert min(counts) > HOME and len(counts) == HOME
+    assert max(counts.values()) <= 8
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_first_cold_server_of_a_lost_zone_gets_its_part_and_not_all(seed: int) -> None:
+    driver = two_zones(seed)
+    lose_home(driver)
+    driver.feed(Membership(ListKind.DELTA, (Endpoint(1, zone=0, started=driver.now + 4 * S),)), after=5 * S)
+    counts: Counter[bool] = Counter()
+    for _ in range(500):
+        send = sends(driver.ask(after=MS))[0]
+        counts[send.endpoint == 1] += 1
+        driver.end(send, Outcome.DONE, after=0)
+    assert counts[True] <= 1.3 * 500 / HOME  # a warm one's, and what a zone may take more (HOME_SPARE)
