--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -83,8 +83,7 @@
 # seldom asked: the less it got the more of them had ended. One that has died refuses the next connection.
 NO_FAULT = frozenset({Outcome.CANCELLED, Outcome.SKIPPED, Outcome.BAD_REQUEST, Outcome.STALE})
 RETRY_PART = 3  # of the time left to the aim, after which a refused client should come back
-# Of a window, in which a repeat has to arrive and end; the rest is for its way there. It would do harm to
-# repeats that come so late, and to nothing else.
+# Of a window, in which a repeat has to arrive and end; the rest is for its way there.
 WINDOW_PART = 0.9
 GOLDEN = 0.6180339887498949  # of a span from slot to slot: whichever begin together are spread evenly
 # After a call to discovery that failed. With the calls before and after it (limits/lists.py) it has to end
@@ -421,11 +420,8 @@
         at = bisect_left(self.pool, endpoint, key=lambda one: one.id)
         there = at < len(self.pool) and self.pool[at].id == endpoint
         changed = self.pool[at] if there else server
-        if (
-            changed is not None
-            and changed.zone == self.settings.zone
-            and self.settings.cross_zone_price > 0.0
-        ):
+        at_home = changed is not None and changed.zone == self.settings.zone
+        if at_home and self.settings.cross_zone_price > 0.0:
             self.stale_at = min(self.stale_at, self.many.look_at)  # home carries another part of the whole
         if server is None or not self._selectable(server):
             if there:
