Let five tries turned away in a row close the retry budget, not three

Seen: tests/grpcs/test_on_sockets.py, a call that was turned away is served elsewhere, got UNAVAILABLE in 4 of 48 runs, six at once: of two servers one turns everything away, its weight falls with each error, and where it was picked three times in six calls the budget had closed, though the other server had room. A small sidecar with one full server of two is no overload. Change: MAX_TOKENS 100 in place of 50; half of them close it.

--- a/garnethaven/limits/retry_budget.py
+++ b/garnethaven/limits/retry_budget.py
@@ -26,7 +26,7 @@
 from __future__ import annotations
 
 TURNED_AWAY_TOKENS = 10.0
-MAX_TOKENS = 50.0  # half of them closes it: three tries turned away with no answer between them
+MAX_TOKENS = 100.0  # half of them closes it: five tries turned away with no answer between them
 
 
 class RetryBudget:
