Answer each request 30 ms before its time is up, or a twentieth of it

A call's time is counted from its taking, and a call whose endpoint hangs is answered at its very end (engine.py, _runs_for): after the client's time, which began with its sending, and later still where the process is busy. Change: the deadline that the engine keeps lies 30 ms before the end, or a twentieth of the time where that is less.

--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -59,6 +59,10 @@
 MS = 1_000_000
 S = 1_000_000_000
 LOG_EVERY = S  # one line to stderr in this time
+# A call has its answer so long before its time is up, or this part of its time if that is less: the time
+# began with the client's sending, and an answer at its very end comes too late where this process is busy.
+ANSWER_MARGIN = 30 * MS
+ANSWER_MARGIN_PART = 20
 
 
 class Prober(Protocol):
@@ -265,7 +269,7 @@
         if self.ends_at:
             span = max(0, min(span, self.ends_at - call.taken_at))
             call.budget = min(call.budget, span)
-        call.deadline = call.taken_at + span
+        call.deadline = call.taken_at + span - min(ANSWER_MARGIN, span // ANSWER_MARGIN_PART)
         self.at(call.deadline, self._time_is_up, call)
 
     def end_by(self, seconds: float) -> None:
