Drop a time that nothing reads, and read the time for asking once

From reading the whole change again: CallSchedule.confirmed_at was left from a trial of readiness, and the client of discovery took fleet size and time for asking from the settings twice. Behaviour is the same.

--- a/garnethaven/membership/call_schedule.py
+++ b/garnethaven/membership/call_schedule.py
@@ -165,7 +165,6 @@
     needs_full_list: bool = False
     moved: bool = False  # to an address that has not answered yet
     turned_away: int = 0  # calls in a row that were
-    confirmed_at: float | None = None
     started: bool = False
     call_count: int = 0
 
@@ -204,7 +203,6 @@
             self.needs_full_list = False
         self.moved = False
         self.turned_away = 0
-        self.confirmed_at = now
         self.suspect_since = None
         early = (
             call.kind is CallKind.WATCH and not changed and now - call.began_at < EARLY_WATCH_PAUSE_SECONDS
--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -107,19 +107,13 @@
         self.pool.settle_s = 0.0  # the next call must follow at once, and one answer is like the other
         self.address = config.discovery
         self.target = Target(self.pool, self.address)
-        self.fresh = FreshList(
-            config.settings.fleet_size,
-            config.settings.ask_within / S,
-            config.seed,
-            WAIT_MOST_S,
-            self.pushed,
-        )
-        ask_within_s = config.settings.ask_within / S
-        double_s = self.fresh.double_s
+        fleet_size, ask_within_s = config.settings.fleet_size, config.settings.ask_within / S
+        self.fresh = FreshList(fleet_size, ask_within_s, config.seed, WAIT_MOST_S, self.pushed)
+        overdue_s = self.fresh.double_s
         if self.pushed:
-            timing = CallTiming.pushed(double_s)
+            timing = CallTiming.pushed(overdue_s)
         else:
-            timing = CallTiming.asked(double_s, ask_within_s, config.settings.fleet_size)
+            timing = CallTiming.asked(overdue_s, ask_within_s, fleet_size)
         self.schedule = CallSchedule(timing, self.fresh.wait_s, Random(config.seed))
         self.calls: dict[int, ListCall] = {}  # by number: those that have neither been answered nor ended
         self.alarm: asyncio.TimerHandle | None = None  # when the schedule wants to advance
