Keep changes by hand through a folder that fails for a while

Change: own changes are noted as unsaved, merged with what others wrote, and written at each look until kept; the text itself tells a change (inodes are used again, file times follow a clock that may be set back); file and folder are synced before a call says yes; the lock is awaited for 50 ms at the most.

--- a/garnethaven/ops/shared.py
+++ b/garnethaven/ops/shared.py
@@ -1,8 +1,14 @@
 """What two processes of one sidecar share while a new version takes over: files in `$TMPDIR`, nothing else.
 
+Any call of the file system may fail for a while (a full disk, an I/O error). A change by hand then stands in
+this process and is written again at each look until it is kept; what can't be read is read again. `change`
+has returned without an error only once file and folder are synced, so that neither a kill of the process nor
+a loss of the machine forgets it; a kill before that leaves the last whole file.
+
 | file | holds |
 | --- | --- |
-| `petrelspan-NAME.json` | who is out by hand (bans.py); written anew and renamed, under the lock |
+| `petrelspan-NAME.json` | who is out by hand (bans.py); replaced as a whole, under the lock |
+| `petrelspan-NAME.new` | the next of these while it is written; replaced too where a kill left it |
 | `petrelspan-NAME.lock` | nothing; locked for a change |
 | `petrelspan-NAME-PID.life` | nothing; locked for as long as that process lives, however it ends |
 """
@@ -12,13 +18,17 @@
 import contextlib
 import fcntl
 import os
+import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
-from garnethaven.ops.bans import Bans, BansError
+from garnethaven.ops.bans import TEXT_MOST, Bans, BansError
 
-TEXT_MOST = 1024 * 1024  # bytes; a larger file was not written here
 LIFE = ".life"
+LOCK_WAIT_SECONDS = (
+    0.05  # for another process's write of some kilobytes; the event loop stands still meanwhile
+)
+LOCK_PAUSE_SECONDS = 0.002
 
 
 def prefix_of(name: str) -> str:
@@ -27,37 +37,65 @@
     return f"petrelspan-{safe}"
 
 
-def files_of_others(folder: Path, prefix: str, ending: str) -> Iterator[Path]:
-    """The files `prefix-PID.ending` of other processes; none where the folder can't be read."""
+def files_of_others(folder: Path, prefix: str, ending: str, separator: str = "-") -> Iterator[Path]:
+    """The files `prefix-PIDending` of other processes; none where the folder can't be read."""
     own = str(os.getpid())
     with contextlib.suppress(OSError):
         for name in sorted(os.listdir(folder)):
-            middle = name.removeprefix(prefix + "-").removesuffix(ending)
-            if name == f"{prefix}-{middle}{ending}" and middle.isdigit() and middle != own:
+            middle = name.removeprefix(prefix + separator).removesuffix(ending)
+            if name == f"{prefix}{separator}{middle}{ending}" and middle.isdigit() and middle != own:
                 yield folder / name
 
 
 def is_held(path: Path) -> bool:
-    """Whether the process that locked this file lives."""
+    """Whether the process that locked this file lives; True also where that can't be told just now."""
     try:
         descriptor = os.open(path, os.O_RDWR | os.O_CLOEXEC)
-    except OSError:
+    except FileNotFoundError:
         return False
+    except OSError:
+        return True
     try:
         fcntl.flock(descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
-    except BlockingIOError:
-        return True
     except OSError:
-        pass
+        return True
     finally:
         os.close(descriptor)
     return False
 
 
+def sync_folder(folder: Path) -> None:
+    """Have the names in a folder outlive a loss of the machine; raises OSError."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def replace_file(path: Path, aside: Path, content: bytes) -> None:
+    """Put `content` in the place of a file, as a whole or not at all, and have it outlive the machine.
+
+    It is written to `aside` first, which must be in the same folder. Raises OSError; the old file is still
+    there then, or, where only the sync of the folder failed, the new one.
+    """
+    try:
+        with open(aside, "wb") as file:
+            file.write(content)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(aside, path)
+    except OSError:
+        with contextlib.suppress(OSError):
+            aside.unlink()  # it may be what fills the disk
+        raise
+    sync_folder(path.parent)
+
+
 class Shared:
     """Bans that outlive the process, and who else serves under this name.
 
-    Without a folder, or where it can't be written, all of it holds in this process alone.
+    Without a folder all of it holds in this process alone.
     """
 
     def __init__(self, folder: str | None, name: str, log: Callable[[str], None]) -> None:
@@ -66,19 +104,23 @@
         self.folder = Path(folder) if folder else None
         self.prefix = prefix_of(name)
         self.life: int | None = None
-        self.seen: tuple[int, int] | None = None  # the file that was read last
+        self.last_text: str | None = None  # of the file, as it was read or written last
+        self.changes: dict[str, bool] = {}  # by others, that no caller of this object has been told of yet
+        self.problems: dict[str, str] = {}  # by what fails just now: the last line that was logged of it
+
+    # Who else serves
 
     def enter(self) -> None:
-        """Tell others of this name that this process lives."""
-        if self.folder is None:
+        """Let others of this name know that this process lives; tried again at each look where it fails."""
+        if self.folder is None or self.life is not None:
             return
+        path = self.folder / f"{self.prefix}-{os.getpid()}{LIFE}"
         try:
-            path = self.folder / f"{self.prefix}-{os.getpid()}{LIFE}"
-            self.life = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-            fcntl.flock(self.life, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self.life = _locked_file(path)
         except OSError as problem:
-            self.log(f"nothing is shared with another process: {problem}")
-            self.folder = None
+            self._fails("life", f"other processes can't see this one: {problem}")
+            return
+        self._works("life")
 
     def leave(self) -> None:
         if self.folder is not None and self.life is not None:
@@ -91,6 +133,7 @@
         """How many other processes serve under this name; what dead ones left is taken away."""
         if self.folder is None:
             return 0
+        self.enter()
         return sum(map(self._lives, files_of_others(self.folder, self.prefix, LIFE)))
 
     @staticmethod
@@ -104,58 +147,131 @@
     # Bans
 
     def news(self) -> list[tuple[str, bool]]:
-        """What another process has changed since the last look: ids and whether they are out."""
+        """What another process has changed since the last look: ids and whether they are out.
+
+        Also writes the own changes that could not be written before.
+        """
         if self.folder is None:
             return []
-        path = self.folder / f"{self.prefix}.json"
         try:
-            told = os.stat(path)
-            seen = (told.st_ino, told.st_mtime_ns)
-            if seen == self.seen:
-                return []
-            self.seen = seen
-            with open(path, encoding="utf-8") as file:
-                return self.bans.read(file.read(TEXT_MOST))
-        except FileNotFoundError:
-            return []
-        except (OSError, BansError, UnicodeDecodeError) as problem:
-            self.log(f"{path} is left alone: {problem}")
-            return []
+            self._save() if self.bans.unsaved else self._merge()
+        except OSError as problem:
+            self._fails("bans", f"{self._path()} can't be used now: {problem}")
+        else:
+            self._works("bans")
+        return self._take_changes()
 
     def change(self, endpoint: str, out: bool) -> list[tuple[str, bool]]:
         """Take an endpoint out or put it back, for all processes; what else has changed meanwhile.
 
-        Raises OSError where it can't be kept; in this process it holds all the same.
+        Raises OSError where it can't be kept yet: it holds in this process all the same, and `news` tries to
+        keep it. Raises BansError, and changes nothing, where too many are out.
+        """
+        if out:
+            self.bans.take_out(endpoint)
+        else:
+            self.bans.put_back(endpoint)
+        self.changes.pop(endpoint, None)  # an older one of another process
+        self._save()
+        return self._take_changes()
+
+    def _take_changes(self) -> list[tuple[str, bool]]:
+        found = list(self.changes.items())
+        self.changes.clear()
+        return found
+
+    def _path(self) -> Path:
+        assert self.folder is not None
+        return self.folder / f"{self.prefix}.json"
+
+    def _merge(self) -> None:
+        """Note what others have written since the last look; raises OSError where it can't be read.
+
+        By the text itself: inodes are used again and file times follow a clock that may be set back.
         """
+        try:
+            with open(self._path(), encoding="utf-8", errors="replace") as file:
+                text = file.read(TEXT_MOST + 1)
+        except FileNotFoundError:
+            return
+        if text == self.last_text:
+            return
+        self.last_text = text
+        try:
+            self.changes |= self.bans.read(text)
+        except BansError as problem:
+            self.log(f"{self._path()} is left alone: {problem}")
+
+    def _save(self) -> None:
+        """Write the own changes together with those of others; raises OSError."""
+        if self.folder is None:
+            self.bans.saved()
+            return
         with self._locked():
-            others = self.news()
-            if out:
-                self.bans.take_out(endpoint)
-            else:
-                self.bans.put_back(endpoint)
-            self._write()
-        return others
+            self._merge()  # where that fails nothing is written: it would undo what others have changed
+            self._remove_leftovers()
+            text = self.bans.text()
+            replace_file(self._path(), self.folder / f"{self.prefix}.new", text.encode())
+        self.last_text = text
+        self.bans.saved()
+
+    def _remove_leftovers(self) -> None:
+        """Remove what earlier versions left half written; only for the holder of the lock."""
+        assert self.folder is not None
+        for path in files_of_others(self.folder, self.prefix, ".new", separator="."):
+            with contextlib.suppress(OSError):
+                path.unlink()
 
     @contextlib.contextmanager
     def _locked(self) -> Iterator[None]:
-        if self.folder is None:
-            yield
-            return
-        descriptor = os.open(
-            self.folder / f"{self.prefix}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600
-        )
+        assert self.folder is not None
+        path = self.folder / f"{self.prefix}.lock"
+        descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
-            fcntl.flock(descriptor, fcntl.LOCK_EX)  # held by others for a write of some kilobytes
+            _lock_soon(descriptor)
             yield
         finally:
             os.close(descriptor)
 
-    def _write(self) -> None:
-        if self.folder is None:
+    # The log
+
+    def _fails(self, what: str, line: str) -> None:
+        """One line for a problem that lasts."""
+        if self.problems.get(what) != line:
+            self.problems[what] = line
+            self.log(line)
+
+    def _works(self, what: str) -> None:
+        self.problems.pop(what, None)
+
+
+def _lock_soon(descriptor: int) -> None:
+    """Lock a file that others lock for moments only; raises BlockingIOError where one holds it for longer.
+
+    A process that was stopped while it held the lock must not stop this one too.
+    """
+    until = time.monotonic() + LOCK_WAIT_SECONDS
+    while True:
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
             return
-        path = self.folder / f"{self.prefix}.json"
-        new = self.folder / f"{self.prefix}.{os.getpid()}.new"
-        new.write_text(self.bans.text(), encoding="utf-8")
-        os.replace(new, path)
-        told = os.stat(path)
-        self.seen = (told.st_ino, told.st_mtime_ns)
+        except BlockingIOError:
+            if time.monotonic() >= until:
+                raise
+        time.sleep(LOCK_PAUSE_SECONDS)
+
+
+def _locked_file(path: Path) -> int:
+    """The descriptor of a file that is locked for as long as this process lives; raises OSError.
+
+    Another process may look at it between its making and its locking, and take it away as a dead one's.
+    """
+    descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        if os.fstat(descriptor).st_nlink == 0:
+            raise FileNotFoundError(f"{path} was taken away before it was locked")
+    except OSError:
+        os.close(descriptor)
+        raise
+    return descriptor
