Tell a start before this machine's boot from one that is long ago

Seen: tests/crossings/test_late_dials.py, 'starts anew', failed on the commit before: a claimed start in 2001 is a negative time of the monotonic clock, and max(0, it) of start_times.py made it 'long ago', so that the dial under way carried its request to a server that had started anew. The same test passes now.

--- a/garnethaven/recovery/start_times.py
+++ b/garnethaven/recovery/start_times.py
@@ -46,7 +46,7 @@
     """What is known of one id: the start that counts for each claimed one, and when it went."""
 
     starts: dict[int, int] = field(default_factory=dict)
-    latest: int = 0  # of the starts that count
+    latest: int | None = None  # of the starts that count, but for "long ago"
     gone_at: int | None = None  # None: it is listed
 
 
@@ -69,7 +69,7 @@
         self.gone.pop(endpoint, None)
         if claimed not in lives.starts:
             self._add(lives, claimed, now, absent_at)
-        return lives.latest
+        return lives.latest or 0
 
     @staticmethod
     def _add(lives: Lives, claimed: int, now: int, absent_at: int | None) -> None:
@@ -81,7 +81,8 @@
         if len(lives.starts) >= MAX_LIVES:
             del lives.starts[next(iter(lives.starts))]
         lives.starts[claimed] = believed
-        lives.latest = max(lives.latest, believed)
+        if claimed:
+            lives.latest = believed if lives.latest is None else max(lives.latest, believed)
 
     def leave(self, endpoint: int, now: int) -> None:
         """A server is listed no more."""
--- a/tests/recovery/test_start_times.py
+++ b/tests/recovery/test_start_times.py
@@ -61,6 +61,13 @@
     assert times.judge(A, 0, NOW + 2 * SECOND, NOW + 2 * SECOND) == NOW - 2 * SECOND
 
 
+def test_a_start_before_this_machine_was_booted_is_told_from_long_ago() -> None:
+    times = StartTimes()
+    assert times.judge(A, 0, NOW, None) == 0
+    assert times.judge(A, -HOUR, NOW, None) == -HOUR
+    assert times.judge(A, 0, NOW + SECOND, NOW) == -HOUR
+
+
 def test_one_that_starts_again_and_again_holds_little_memory() -> None:
     times = StartTimes()
     for number in range(1000):
