Add a test that fails: a server is told more time than its client has left

Seen: a request of 2,000 ms whose dial takes 0.5 s tells its server 1,969 ms (transport.py, HttpAttempt.__init__, makes the head before the dial; gRPC's attempt.limit is of that moment too).

--- a/tests/crossings/test_late_dials.py
+++ b/tests/crossings/test_late_dials.py
@@ -157,3 +157,24 @@
             assert not peer.requests
 
     run(case())
+
+
+def test_a_server_is_told_the_time_that_is_left_when_the_request_is_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Whatever passed between the decision to send and the writing is not the server's to spend."""
+
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, (peer,)):
+            dials = HeldDials(monkeypatch)
+            asked = asyncio.create_task(sidecar.ask(request(X_Budget_Ms="2000")))
+            await until(lambda: dials.begun == 1)
+            began = time.monotonic()
+            await asyncio.sleep(0.5)
+            dials.let.release()
+            assert (await asked) == (200, b"hello")
+            (head,) = peer.requests
+            (told,) = [line for line in head.split(b"\r\n") if line.lower().startswith(b"x-budget-ms:")]
+            assert 0 < int(told.split(b":")[1]) <= 2000 - 1000 * 0.5, time.monotonic() - began
+
+    run(case())
