Tell a server the time that is left when its request is written

Cause: HttpAttempt.__init__ (net/transport.py) put X-Budget-Ms into the head at the decision, and grpcs/transport.py sent attempt.limit: whatever the dial took (up to dialTimeoutNs, 250 ms with the site's settings, against a slack of 150 ms) was told once more. The head is made in message() now, at the writing; for gRPC attempt.left(). Ruled out: bodies that still come, whose time has not begun (told whole, as before).

--- a/garnethaven/grpcs/transport.py
+++ b/garnethaven/grpcs/transport.py
@@ -99,6 +99,10 @@
         server = self.transport.engine.balancer.servers.get(self.endpoint)
         return server is self.server and time.monotonic_ns() < self.ends_at
 
+    def left(self) -> int:
+        """Nanoseconds that the server has from now on; what the dial took is not its to spend."""
+        return max(1, min(self.limit, self.ends_at - time.monotonic_ns()))
+
     def give_up(self) -> bool:
         self.over = True
         line, self.line = self.line, None
@@ -174,7 +178,7 @@
         attempt.line, attempt.stream_id = self, stream_id
         attempt.sender = Sender(self.h2, stream_id, attempt.stream.sent_up)
         self.attempts[stream_id] = attempt
-        self.h2.send_headers(stream_id, attempt.stream.request(attempt.limit))
+        self.h2.send_headers(stream_id, attempt.stream.request(attempt.left()))
         attempt.sent = True
         chunks, ended = attempt.stream.so_far()
         for chunk in chunks:
--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -286,8 +286,9 @@
         self.received = 0
         self.in_body = self.complete = self.extra = self.reusable = False
         self.flushed = self.passing = False
-        self.request_size = sum(map(len, exchange.payload))
-        self.transport.writelines(exchange.payload)
+        message = exchange.message()
+        self.request_size = sum(map(len, message))
+        self.transport.writelines(message)
         if exchange.body is not None:
             exchange.body.lead_to(self)
             self._check_went_out()
--- a/garnethaven/net/exchange.py
+++ b/garnethaven/net/exchange.py
@@ -61,6 +61,10 @@
         self.body: Body | None = None  # that comes behind the payload, as it comes from the client
         self.redone = False  # it has been moved to another connection once, for it had not been written
 
+    def message(self) -> tuple[bytes | bytearray, ...]:
+        """The bytes to write, as of the moment of writing."""
+        return self.payload
+
     def answered(self, answer: Answer) -> None:
         """The whole answer has come; all of its body, or what was not passed on."""
 
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -63,13 +63,10 @@
 
     def __init__(self, transport: HttpTransport, call: Call, endpoint: int, limit: int, now: int) -> None:
         request: HttpRequest = call.request
-        head = b"%s%d%s" % (request.before, max(1, min(limit, call.budget) // MS), request.after)
-        body = request.body
-        if isinstance(body, Body):
-            super().__init__((head,))
-            self.body = body
-        else:
-            super().__init__((head + body,) if len(body) <= len(head) else (head, body))
+        super().__init__(())
+        self.request = request
+        if isinstance(request.body, Body):
+            self.body = request.body
         self.transport = transport
         self.call = call
         self.client: Served = request.client
@@ -80,6 +77,19 @@
         self.again = self.number > 0
         self.careful = transport.engine.settings.grades[call.grade].effect is Effect.FRAGILE
 
+    def message(self) -> tuple[bytes | bytearray, ...]:
+        """Head and body; the time that the endpoint is told of is what is left now, after any dial.
+
+        Where the body is still to come, the client's time has not begun.
+        """
+        now = time.monotonic_ns()
+        left = min(self.ends_at - now, self.call.deadline - now, self.call.budget)
+        head = b"%s%d%s" % (self.request.before, max(1, left // MS), self.request.after)
+        body = self.request.body
+        if isinstance(body, Body):
+            return (head,)
+        return (head + body,) if len(body) <= len(head) else (head, body)
+
     def start(self) -> None:
         transport = self.transport
         if self.again and self.client.has_left():
