Add tests that fail: connect, accept and the log fail on this machine

Seen: a connect that fails with EADDRNOTAVAIL, ENOBUFS, ENETUNREACH, ENFILE or EPERM ends the request within microseconds (upstream.py, _dial: every OSError is the server's refusal); an accept that fails with EPERM was called 188,608 times in 0.5 s (listener.py, _accept: continue); a log that can't be written raises out of engine.says, and a full pipe holds the process up until somebody reads it.

--- /dev/null
+++ b/tests/net/test_failing_calls.py
@@ -0,0 +1,140 @@
+"""System calls of this process that fail for a while: connect, accept and writes to the log."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import socket
+import sys
+from typing import Any
+
+import pytest
+
+from garnethaven.engine.engine import Engine
+from garnethaven.net.connection import Connection
+from garnethaven.net.upstream import Target
+from tests.loopback import ANSWER, request, run, running, says, until
+
+
+class FailingConnects:
+    """Connects to servers fail with one errno while `fails` is set; counts them."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, code: int) -> None:
+        self.fails = True
+        self.injected = 0
+        connect = Target._connect
+
+        async def failing(target: Target, address: Any) -> Connection:
+            if self.fails and target.pool.idle_s:  # not discovery's
+                self.injected += 1
+                raise OSError(code, os.strerror(code))
+            return await connect(target, address)
+
+        monkeypatch.setattr(Target, "_connect", failing)
+
+
+OWN_FAILURES = [errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENETUNREACH, errno.ENFILE, errno.EPERM]
+
+
+@pytest.mark.parametrize("code", OWN_FAILURES[:1], ids=lambda code: errno.errorcode[code])
+def test_connects_that_fail_on_this_machine_cost_no_server_and_no_request(
+    code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def case() -> None:
+        async with running(says(ANSWER), says(ANSWER)) as (sidecar, _):
+            connects = FailingConnects(monkeypatch, code)
+            asked = asyncio.create_task(sidecar.ask(request(X_Budget_Ms="3000")))
+            await until(lambda: connects.injected > 0)
+            await asyncio.sleep(1.0)
+            assert not asked.done(), "there is time left"
+            assert connects.injected < 60, "it rests between two of them"
+            connects.fails = False
+            assert (await asked) == (200, b"hello")
+            balancer = sidecar.engine.balancer
+            assert all(not server.errors for server in balancer.servers.values())
+
+    run(case())
+
+
+class FailingListener:
+    """A listening socket whose accepts fail with one errno while `fails` is set."""
+
+    def __init__(self, sock: socket.socket, code: int) -> None:
+        self.sock = sock
+        self.code = code
+        self.fails = True
+        self.injected = 0
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self.fails:
+            self.injected += 1
+            raise OSError(self.code, os.strerror(self.code))
+        return self.sock.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
+@pytest.mark.parametrize("code", [errno.EPERM, errno.ENFILE])
+def test_accepts_that_fail_for_long_do_not_spin_and_lose_nobody(code: int) -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            listener = sidecar.listener
+            listener.sock = failing = FailingListener(listener.sock, code)  # type: ignore[assignment]
+            asked = asyncio.create_task(sidecar.ask(request()))
+            await until(lambda: failing.injected > 0)
+            await asyncio.sleep(0.5)
+            assert failing.injected < 100
+            failing.fails = False
+            assert (await asked) == (200, b"hello")
+
+    run(case())
+
+
+def test_one_client_that_went_away_while_it_waited_delays_nobody() -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            listener = sidecar.listener
+            listener.sock = failing = FailingListener(listener.sock, errno.ECONNABORTED)  # type: ignore
+            accept = failing.accept
+
+            def once() -> tuple[socket.socket, Any]:
+                failing.fails = failing.injected < 1
+                return accept()
+
+            failing.accept = once  # type: ignore[method-assign]
+            assert (await sidecar.ask(request())) == (200, b"hello") and failing.injected == 1
+            assert listener.accepting
+
+    run(case())
+
+
+class ClosedError:
+    """A standard error that can't be written."""
+
+    def write(self, text: str) -> int:
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    def flush(self) -> None:
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    def fileno(self) -> int:
+        raise OSError(errno.EBADF, os.strerror(errno.EBADF))
+
+
+def an_engine(sidecar: Any) -> Engine:
+    engine: Engine = sidecar.engine
+    engine.logged_at = 0
+    return engine
+
+
+def test_a_log_that_cannot_be_written_raises_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def case() -> None:
+        async with running(says(ANSWER)) as (sidecar, _):
+            monkeypatch.setattr(sys, "stderr", ClosedError())
+            engine = an_engine(sidecar)
+            engine.log("a line")
+            assert (await sidecar.ask(request())) == (200, b"hello")
+
+    run(case())
