Wait out calls of this machine's own that fail, and blame no server for them

Change: net/own_failures.py names the errnos; a dial that fails by one of them is tried again after 10 to 80 ms, or goes on an idle connection that came free, for an equal part of the request's time for each attempt that is left; then it is handed back as never tried (a missing path counts against the server where it lasts). Eight failed accepts in one event, or want of resources, rest for 0.1 s. engine/log.py drops a line that can't be written now. Not done: the planned pool's and gRPC's dials (both off by default) still blame the server.

--- a/garnethaven/engine/calls.py
+++ b/garnethaven/engine/calls.py
@@ -33,6 +33,7 @@
     sent_at: int  # nanoseconds
     over: bool
     refused: bool  # the endpoint could not be reached, through no shortage of this side
+    hindered: bool  # it waits to begin because calls of this machine's own fail just now
 
     def start(self) -> None:
         """Begin; every end is told by `Engine.attempt_ended`, also one that comes at once."""
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -15,7 +15,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
 import traceback
 from collections import deque
@@ -28,6 +27,7 @@
 from garnethaven.brain import Balancer
 from garnethaven.engine.account import Account, End
 from garnethaven.engine.calls import Attempt, Call
+from garnethaven.engine.log import write_line
 from garnethaven.engine.spending import Spend, Spending
 from garnethaven.interface import (
     NEVER_RAN,
@@ -175,8 +175,7 @@
         if now - self.logged_at < LOG_EVERY:
             return False
         self.logged_at = now
-        print(f"garnethaven {self.name}: {text}", file=sys.stderr, flush=True)
-        return True
+        return write_line(f"garnethaven {self.name}: {text}")
 
     # Timers
 
@@ -391,8 +390,9 @@
     def _time_out(self, attempt: Attempt) -> None:
         if not attempt.over and attempt is not attempt.call.bound:
             # What has not been written whole cannot have run.
+            never_ran = Outcome.SKIPPED if attempt.hindered else Outcome.CONNECT_FAILED
             written = attempt.give_up()
-            self.attempt_ended(attempt, Outcome.TIMED_OUT if written else Outcome.CONNECT_FAILED)
+            self.attempt_ended(attempt, Outcome.TIMED_OUT if written else never_ran)
 
     def _cancel(self, action: Cancel) -> None:
         call = self.calls.get(action.id)
--- a/garnethaven/extproc/report.py
+++ b/garnethaven/extproc/report.py
@@ -29,6 +29,7 @@
         self.sent_at = now
         self.over = False
         self.refused = False
+        self.hindered = False
         self.delivered = False  # the decision has been written to the proxy
 
     def start(self) -> None:
--- a/garnethaven/grpcs/transport.py
+++ b/garnethaven/grpcs/transport.py
@@ -72,7 +72,7 @@
         self.sent_at = now
         self.ends_at = now + limit
         self.server = transport.engine.balancer.servers.get(endpoint)  # one that starts anew is another
-        self.over = self.refused = False
+        self.over = self.refused = self.hindered = False
         self.sent = False  # its headers have been written to a connection
         self.line: UpLine | None = None
         self.stream_id = 0
--- a/garnethaven/net/exchange.py
+++ b/garnethaven/net/exchange.py
@@ -58,6 +58,7 @@
         self.careful = False  # it must not be lost: no connection in doubt is good enough
         self.again = False  # it repeats a try that was lost, perhaps on a connection in doubt
         self.skipped = False  # nothing was tried, through no fault of the endpoint
+        self.hindered = False  # it waits because calls of this machine's own fail just now
         self.body: Body | None = None  # that comes behind the payload, as it comes from the client
         self.redone = False  # it has been moved to another connection once, for it had not been written
 
@@ -85,6 +86,10 @@
         """Whether what was decided before a dial or a wait still holds at the moment of writing."""
         return True
 
+    def patience_s(self) -> float:
+        """Seconds it may wait at this target while calls of this machine's own fail; 0: a dial's."""
+        return 0.0
+
     def may_open_spare(self) -> bool:
         """Whether a new connection may be opened for it in place of one that has rested for a short time."""
         return False
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -29,7 +29,8 @@
 MAX_ACCEPTS_PER_EVENT = 64
 OVERFLOW = 16  # connections above the limit that are accepted only to be refused
 MAX_LINGERING = 16  # lingering connections above the limit; beyond it the oldest are aborted
-ACCEPT_RETRY_S = 0.1  # after an accept failed for want of descriptors or memory
+ACCEPT_RETRY_S = 0.1  # after an accept failed for want of descriptors or memory, or again and again
+MAX_FAILED_ACCEPTS = 8  # in one event: each may be a client that went away while it waited
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 LISTEN_BACKLOG = 1024
 
@@ -95,6 +96,7 @@
         self.draining = False
         self.read_until = self.last_answer_at = math.inf  # deadlines of a shutdown
         self.accepting = False
+        self.rests_until = 0.0  # after accepts that failed, so that a failure that lasts does not spin
         self.accepted_at = 0.0
         self.lingers_until = math.inf
         self.finished: asyncio.Future[None] = loop.create_future()
@@ -107,7 +109,8 @@
         loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def _resume_accepting(self) -> None:
-        if not self.accepting and not self.sock_closed():
+        rests = self.loop.time() < self.rests_until
+        if not self.accepting and not rests and not self.sock_closed():
             self.accepting = True
             self.loop.add_reader(self.sock, self._accept)
 
@@ -122,7 +125,8 @@
         At the limit, connections without a request are closed to make room. Where there are none, up to
         OVERFLOW more are accepted only to be refused, and others stay in the kernel's backlog.
         """
-        for taken in range(MAX_ACCEPTS_PER_EVENT):
+        taken = failed = 0
+        while taken < MAX_ACCEPTS_PER_EVENT:
             excess = self._excess()
             if excess >= OVERFLOW:
                 self._pause_accepting()
@@ -132,15 +136,19 @@
             except BlockingIOError:
                 return taken
             except OSError as problem:
+                failed += 1
                 if problem.errno in OUT_OF_RESOURCES:
-                    self._retry_accepting()
-                    return taken
-                continue  # the client went away while it waited
+                    self.transport.pool.close_oldest_idle()
+                elif failed < MAX_FAILED_ACCEPTS:
+                    continue  # the client went away while it waited
+                self._retry_accepting()
+                return taken
+            taken += 1
             self.accepted_at = self.loop.time()
             self._serve(sock, over_limit=excess >= 0)
             if self.lingering:
                 self._bound_lingering()
-        return MAX_ACCEPTS_PER_EVENT
+        return taken
 
     def _excess(self) -> int:
         """Connections above the limit, after making room for one more; negative: there is room."""
@@ -150,14 +158,19 @@
         return excess
 
     def _retry_accepting(self) -> None:
-        """Free a descriptor, and accept again after a pause."""
-        self.transport.pool.close_oldest_idle()
+        """Accept again after a pause."""
+        self.rests_until = self.loop.time() + ACCEPT_RETRY_S / 2
         self._pause_accepting()
         self.loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
 
     def _serve(self, sock: socket.socket, over_limit: bool) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as problem:
+            self.engine.log(f"a connection could not be served: {problem}")
+            sock.close()
+            return
 
         def connection() -> ClientConnection:
             return ClientConnection(self, sock, over_limit)
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -109,6 +109,11 @@
         takes_new = self.transport.engine.balancer.takes_new(self.endpoint)
         return takes_new and time.monotonic_ns() < self.ends_at and not self.client.has_left()
 
+    def patience_s(self) -> float:
+        """An equal part of the time that is left for each attempt that is left."""
+        attempts = max(1, self.transport.settings.max_attempts - self.number)
+        return max(0, self.ends_at - time.monotonic_ns()) / attempts / S
+
     def may_open_spare(self) -> bool:
         return self.transport.is_warm(self.endpoint)
 
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -13,6 +13,7 @@
 from garnethaven.net.connection import Connection
 from garnethaven.net.exchange import Exchange
 from garnethaven.net.flow import RECEIVE_BUFFER
+from garnethaven.net.own_failures import FIRST_PAUSE_SECONDS, blames_server, is_own, next_pause
 from garnethaven.net.reuse import ReusePolicy
 
 SWEEPS = 20  # the idle pool is looked through this many times in an idle time
@@ -38,17 +39,16 @@
             return
         if self.address is None or not self.pool.has_room():
             exchange.over = True
+            exchange.skipped = exchange.skipped or self.address is not None  # no fault of the endpoint's
             exchange.broken(written=False)
             return
         self.waiting.add(exchange)
         self.pool.dials.add(exchange)
         self.pool.reuse.opened()
-        dial = self.pool.loop.create_task(self._dial(exchange, self.address))
-        timer = self.pool.loop.call_later(dial_timeout, dial.cancel)
+        dial = self.pool.loop.create_task(self._dial(exchange, self.address, dial_timeout))
         exchange.dial = dial
 
         def dialled(_: asyncio.Task[None]) -> None:  # also when cancelled before its first step
-            timer.cancel()
             self.waiting.discard(exchange)
             self.pool.dials.discard(exchange)
 
@@ -76,11 +76,11 @@
             connection.drop_unusable()
         return None
 
-    async def _dial(self, exchange: Exchange, address: Address) -> None:
+    async def _dial(self, exchange: Exchange, address: Address, dial_timeout: float) -> None:
         connection: Connection | None = None
         began = time.monotonic_ns()
         with contextlib.suppress(OSError, asyncio.CancelledError):
-            connection = await self._connect(address)
+            connection = await self._connect_despite_failures(exchange, address, dial_timeout)
         if connection is not None and not connection.transport.is_closing():
             self.pool.connections.add(connection)
         self.pool.dials.discard(exchange)
@@ -90,7 +90,8 @@
             if connection is not None:
                 self.release(connection)
         elif connection is None or connection.transport.is_closing():
-            exchange.over = exchange.refused = True
+            exchange.over = True
+            exchange.refused = not exchange.skipped
             exchange.broken(written=False)
         elif address != self.address or began < self.anew_at or not exchange.may_begin():
             # The dial took its time, and what was decided before it holds no more: the server has moved,
@@ -101,6 +102,35 @@
         else:
             connection.carry(exchange)
 
+    async def _connect_despite_failures(
+        self, exchange: Exchange, address: Address, dial_timeout: float
+    ) -> Connection:
+        """A new connection, or one that came free while calls of this machine's own failed.
+
+        `dial_timeout` seconds are the server's for one dial. Raises OSError where it gave no connection, or
+        where this machine's own failures outlast the exchange's patience; that one is `skipped` then.
+        """
+        loop = self.pool.loop
+        patient_until = loop.time() + max(dial_timeout, exchange.patience_s())
+        pause_s = FIRST_PAUSE_SECONDS
+        while True:
+            exchange.hindered = False
+            try:
+                async with asyncio.timeout(dial_timeout):
+                    return await self._connect(address)
+            except OSError as problem:
+                if not is_own(problem):
+                    raise
+                exchange.hindered = True
+                if loop.time() + pause_s > patient_until:
+                    exchange.skipped = not blames_server(problem)
+                    raise
+            await asyncio.sleep(pause_s)
+            pause_s = next_pause(pause_s)
+            connection = self._take_idle(exchange)
+            if connection is not None:
+                return connection
+
     def prepare(self, sock: socket.socket) -> None:
         """Set further options of a socket before it connects."""
 
