--- a/garnethaven/net/own_failures.py
+++ b/garnethaven/net/own_failures.py
@@ -7,7 +7,7 @@
 | EMFILE, ENFILE, ENOBUFS, ENOMEM, EAGAIN | this process or machine has no room |
 | EADDRNOTAVAIL, EADDRINUSE | no local port is free just now |
 | EINTR | a signal came |
-| ENETUNREACH, ENETDOWN, EPERM, EACCES | no way there just now, by routes or filters of this machine or the path |
+| ENETUNREACH, ENETDOWN, EPERM, EACCES | no way there just now, here or on the path |
 
 The last row may be the path to one server alone. It is waited out like the others; where it lasts it counts
 against the server, so that others are preferred.
--- a/tests/membership/test_call_schedule.py
+++ b/tests/membership/test_call_schedule.py
@@ -384,3 +384,33 @@
         queue = Queue(CAPACITY * 23.0, patience_s, free_at=8.0)
         answers = first_answers(230, 230, queue, seed)
         assert answers[-1] <= 8.0 + 8.0, (seed, answers[-1])
+
+
+@pytest.mark.parametrize("queue_s", [0.0, 0.5, 1.0, 1.25])
+def test_two_calls_in_a_row_that_are_turned_away_leave_a_change_known_in_time(queue_s: float) -> None:
+    """Discovery is down for long and comes back: it turns away two more calls, and answers the third.
+
+    Each call waits `queue_s` for its end. A change of the moment of the return, at whatever point between two
+    calls that was, has to be known 6 s later.
+    """
+    worst = 0.0
+    for seed in range(200):
+        schedule = schedule_of(fleet_size=200, seed=seed)
+        now, starts = 0.0, []
+        actions = schedule.start(now, 0.0)
+        while len(starts) < 12:
+            calls = [action for action in actions if isinstance(action, BeginCall)]
+            if calls:
+                starts.append(now)
+                now += queue_s
+                actions = schedule.failed(now, calls[0].number, Failure.TURNED_AWAY)
+                continue
+            due = schedule.next_at
+            assert due is not None
+            now = max(now, due)
+            actions = schedule.advance(now)
+        # The return is right after a call was turned away, or while one waits to be (it is one of the two).
+        after_its_end = [last - first for first, last in zip(starts, starts[3:], strict=False)]
+        in_its_wait = [last + queue_s - first for first, last in zip(starts, starts[2:], strict=False)]
+        worst = max(worst, *after_its_end, *in_its_wait)
+    assert worst <= CHANGE_KNOWN_AFTER_SECONDS
