--- a/rigs/__main__.py
+++ b/rigs/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m rigs NAME [FRONT] [--seed N] [--seconds S] [--json]`."""
+"""`python -m rigs NAME [FRONT] [--seed N] [--seconds S] [--runs K] [--json]`."""
 
 from __future__ import annotations
 
@@ -18,6 +18,7 @@
     "registry": "servers in etcd and in Consul: compactions, cuts with ends inside, a lagging member",
     "budgets": "24 programs that hand rights to one another: a storm of repeats through cuts and kills",
     "tenants": "16 programs that share counts over bad links: a tenant at 20 times its allowance",
+    "soak": "drawn plays of one program under mixed trouble, ended by signals and the earliest kill",
     "limits": "places for clients, fresh lists and overload under hostile clients and a failing discovery",
 }
 
@@ -32,17 +33,21 @@
     )
     parser.add_argument("--seed", type=int, default=None, help="of everything random; a new one if left out")
     parser.add_argument("--seconds", type=float, default=None, help="how long to send; at most 120")
+    parser.add_argument("--runs", type=int, default=1, help="how many seeds the soak plays, from --seed on")
     parser.add_argument("--json", action="store_true", help="end with one JSON object")
     wanted = parser.parse_args()
     if wanted.seconds is not None and not 1.0 <= wanted.seconds <= 120.0:
         parser.error("--seconds is from 1 to 120")
+    if not 1 <= wanted.runs <= 1000 or (wanted.runs > 1 and wanted.name != "soak"):
+        parser.error("--runs is from 1 to 1000, and for the soak alone")
     if wanted.front and wanted.name != "demo":
         parser.error(f"{wanted.name} plays one front only")
     seed = wanted.seed if wanted.seed is not None else random.SystemRandom().getrandbits(31)
     name = "-".join(word for word in (wanted.name, wanted.front) if word)
     rig = importlib.import_module(f"rigs.{name.replace('-', '_')}")
     print(f"rig {name}, seed {seed}", file=sys.stderr)
-    held: bool = asyncio.run(rig.play(seed, wanted.seconds, wanted.json))
+    more = {"runs": wanted.runs} if wanted.name == "soak" else {}
+    held: bool = asyncio.run(rig.play(seed, wanted.seconds, wanted.json, **more))
     return 0 if held else 1
 
 
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -242,6 +242,8 @@
             news = self.news
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(news.wait(), wait_s)
+        if writer.is_closing():  # ended by a fault meanwhile: nothing is written, and nobody told
+            raise ConnectionError
         if self.mood is Mood.SILENT or lives != self.lives:  # also towards those that waited since before
             await asyncio.sleep(3600)
         if after is None or after > self.revision:
