Take a configuration or operator's file that is nested without end for unreadable

json and tomllib raise RecursionError for it; read_config and read_operator name the file now, and the old settings stay.

--- a/garnethaven/app/operator.py
+++ b/garnethaven/app/operator.py
@@ -51,7 +51,7 @@
         told = tomllib.loads(text)
     except (OSError, UnicodeDecodeError) as problem:
         raise OperatorError([f"{path} cannot be read: {problem}"]) from None
-    except tomllib.TOMLDecodeError as problem:
+    except (tomllib.TOMLDecodeError, RecursionError) as problem:
         raise OperatorError([f"{path} is no TOML: {problem}"]) from None
     try:
         return _read_tables(path, text, told)
--- a/garnethaven/config.py
+++ b/garnethaven/config.py
@@ -45,7 +45,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             told = json.load(file)
-    except (OSError, ValueError) as problem:
+    except (OSError, ValueError, RecursionError) as problem:
         raise ConfigError(f"{path} cannot be read: {problem}") from None
     if not isinstance(told, dict):
         raise ConfigError(f"{path} does not hold an object")
