--- a/garnethaven/membership/call_schedule.py
+++ b/garnethaven/membership/call_schedule.py
@@ -12,20 +12,17 @@
 
 - Refused, broken or without an answer: half of the time that is left until a change counts as known to this
   instance, between `min_pause_s` and `pause_s`.
-- Turned away: discovery is down, or has more calls than it can work through. From the beginning of such a
-  call to that of the next one half of `TURNED_AWAY_CYCLE` of `pause_s` passes after the first such answer in
-  a row, for a burst is over soon, and that part of it from then on; but never less than `min_pause_s` after
-  the answer. Longer ones would outlast the time after which a change counts as known. What kept an
-  overloaded discovery from answering anybody for 15 s were two calls where one is enough: a fetch and then a
-  watch, and new ones every 1.5 s.
+- Turned away: discovery is down, or has more calls than it can work through. The pause is half of `pause_s`
+  after the first such answer in a row, for a burst is over soon, and `pause_s` from then on. Longer ones
+  would outlast the time after which a change counts as known. What kept an overloaded discovery from
+  answering anybody for 15 s were two calls where one is enough: a fetch and then a watch, and new ones
+  every 1.5 s.
 
 Pauses are drawn from their second half, or instances that failed together would call together.
 
 With the timing of `CallTiming.asked` a call that is lost without a sign leads to another one after
-3.0 + 2.0 s, of the 6 s after which a change counts as known. Calls that are turned away after a wait of W
-begin 1.75 s after each other at the most while W <= 1.25 s. Where discovery comes back right after one of
-them and turns two more away, the third begins 3 * 1.75 = 5.25 s after the return. With a longer W it begins
-3 * (W + 0.5) s after it, and 6 s are not kept from W = 1.5 s on.
+3.0 + 2.0 s, and one that is turned away after 2.0 s at the most, of the 6 s after which a change counts as
+known.
 
 Once the list is confirmed a watch follows at once (a watch that begins within 0.2 s of the last answer costs
 discovery nothing).
@@ -51,7 +48,6 @@
 
 MAX_PAUSE_SECONDS = 2.0
 MIN_PAUSE_SECONDS = 0.5
-TURNED_AWAY_CYCLE = 0.875  # of the longest pause: between the beginnings of two calls that are turned away
 FULL_PAUSE_FLEET = 25  # instances from which on pauses are whole; fewer burden discovery less
 # A discovery that works through calls in turn answers after a wait. No such service seen so far lets a call
 # wait for longer than this before it turns it away.
@@ -216,14 +212,13 @@
 
     def failed(self, now: float, number: int, failure: Failure = Failure.BROKEN) -> list[CallAction]:
         """A call has ended without an answer that holds, whatever its kind."""
-        call = self.open_calls.pop(number, None)
-        if call is None:
+        if self.open_calls.pop(number, None) is None:
             return []
         if failure is Failure.BEHIND:
             self.needs_full_list = True
         self.turned_away = self.turned_away + 1 if failure is Failure.TURNED_AWAY else 0
         self._suspect(now, now + CHANGE_KNOWN_AFTER_SECONDS)
-        pause_s = self._pause_s(now, failure, now - call.began_at)
+        pause_s = self._pause_s(now, failure)
         self.next_fetch_at = now + pause_s * (1.0 - 0.5 * self.rng.random())
         return self.advance(now)
 
@@ -277,14 +272,13 @@
             self.suspect_since = now
             self.known_at = known_at
 
-    def _pause_s(self, now: float, failure: Failure, taken_s: float) -> float:
-        """The longest pause after a call that failed, `taken_s` seconds after it was begun."""
+    def _pause_s(self, now: float, failure: Failure) -> float:
+        """The longest pause after a call that failed."""
         timing = self.timing
         if self.moved or failure is Failure.BEHIND:
             return min(RETRY_SECONDS, timing.pause_s)
         if failure is Failure.TURNED_AWAY:
-            cycle_s = timing.pause_s * TURNED_AWAY_CYCLE
-            return max(timing.min_pause_s, (cycle_s / 2 if self.turned_away == 1 else cycle_s) - taken_s)
+            return timing.pause_s / 2 if self.turned_away == 1 else timing.pause_s
         if now >= self.known_at:
             return timing.pause_s
         return min(timing.pause_s, max(timing.min_pause_s, (self.known_at - now) / 2))
