--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -6,6 +6,7 @@
 import errno
 import math
 import socket
+import time
 from collections.abc import Callable
 
 from garnethaven.addresses import Address
@@ -32,6 +33,7 @@
 ACCEPT_RETRY_S = 0.1  # after an accept failed for want of descriptors or memory, or again and again
 MAX_FAILED_ACCEPTS = 8  # in one event: each may be a client that went away while it waited
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+START_PATIENCE_S = 5.0  # for the listening socket of a process that starts, where there is no room for one
 LISTEN_BACKLOG = 1024
 
 # Graceful shutdown. New connections come for up to 0.4 s after the signal, requests on persistent ones as
@@ -50,8 +52,33 @@
 
 
 def listening_socket(address: Address) -> socket.socket:
-    """A listening TCP socket, non-blocking; raises OSError where the address can't be had."""
+    """A listening TCP socket, non-blocking; raises OSError where the address can't be had.
+
+    At the start nothing runs yet that waiting could hold up: where this machine has no room for a socket just
+    now, it is tried again for `START_PATIENCE_S`.
+    """
+    until = time.monotonic() + START_PATIENCE_S
+    while True:
+        try:
+            return _open_listening_socket(address)
+        except OSError as problem:
+            if problem.errno not in OUT_OF_RESOURCES or time.monotonic() >= until:
+                raise
+        time.sleep(ACCEPT_RETRY_S)
+
+
+def _open_listening_socket(address: Address) -> socket.socket:
+    """One try; raises OSError."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        _prepare_listening(sock, address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def _prepare_listening(sock: socket.socket, address: Address) -> None:
     # After a restart the address is free at once, whatever state the last process's connections are in.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     # During an upgrade the old and the new version listen at the same time.
@@ -61,7 +88,6 @@
     sock.setblocking(False)
     sock.bind(address)
     sock.listen(LISTEN_BACKLOG)
-    return sock
 
 
 class Listener:
