--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+import time
 from dataclasses import replace
 
 import pytest
 
 from garnethaven.engine.engine import MS
 from garnethaven.net.listener import KILL_S
+from rigs.stage import Stage
+from standins.platform import NS, settings
 from tests.loopback import ANSWER, Sidecar, read_message, request, run, running, says, silent, until
 
 
@@ -88,3 +92,42 @@
             assert len(peer.requests) == 1
 
     run(case())
+
+
+END_MARGIN_S = 0.08  # before the kill, for a process that is held up while it ends
+
+
+@pytest.mark.parametrize("deadline_s", [0.3, 0.9])
+def test_the_process_has_ended_well_before_the_kill(deadline_s: float) -> None:
+    """Requests come whole late, servers hang and clients do not close; the interpreter's end takes time too."""
+
+    async def case() -> None:
+        facts = settings()
+        for grade in facts["grades"]:
+            grade |= {"deadlineNs": int(deadline_s * NS), "aimNs": int(deadline_s * NS / 3)}
+        stage = Stage(9, servers=2, sockets=384)
+        program = await stage.up(facts)
+        try:
+            for server in stage.servers:
+                server.silent = True
+            writers = []
+            for number in range(6):
+                headers = {"X_Call_Class": "check", "X_Budget_Ms": str(int(deadline_s * 1000))}
+                text = request(X_Call_Id=f"c{number}", **headers)
+                _, writer = await asyncio.open_connection("127.0.0.1", program.port)
+                writer.write(text[:-1])
+                writers.append((writer, text[-1:]))
+            await asyncio.sleep(0.05)
+            program.signal(signal.SIGTERM)
+            begun = time.monotonic()
+            await asyncio.sleep(deadline_s + 0.35)
+            for writer, rest in writers:
+                writer.write(rest)
+            assert program.process is not None
+            assert await asyncio.wait_for(program.process.wait(), 10.0) == 0
+            left = deadline_s + KILL_S - (time.monotonic() - begun)
+            assert left > END_MARGIN_S
+        finally:
+            await stage.down()
+
+    run(case())
