--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -99,7 +99,7 @@
 
 @pytest.mark.parametrize("deadline_s", [0.3, 0.9])
 def test_the_process_has_ended_well_before_the_kill(deadline_s: float) -> None:
-    """Requests come whole late, servers hang and clients do not close; the interpreter's end takes time too."""
+    """Requests come whole late, servers hang, clients do not close; the interpreter's end takes time too."""
 
     async def case() -> None:
         facts = settings()
