Leave 0.1 s more between the last answer and the kill, and log to what is no file

Requests taken in the first 0.45 s after the signal keep their whole time. engine/log.py dropped lines where standard error has no descriptor, as under a test's capture.

--- a/garnethaven/engine/log.py
+++ b/garnethaven/engine/log.py
@@ -7,6 +7,7 @@
 
 import select
 import sys
+from io import UnsupportedOperation
 
 MAX_LINE_BYTES = 4096  # a pipe that is ready takes so many (PIPE_BUF) without a wait
 
@@ -27,7 +28,7 @@
     """Whether standard error takes bytes without a wait; raises OSError or ValueError where it takes none."""
     try:
         descriptor = sys.stderr.fileno()
-    except AttributeError:  # it is None, or no file
+    except (AttributeError, UnsupportedOperation):  # it is None, or no file
         return sys.stderr is not None
     poll = select.poll()
     poll.register(descriptor, select.POLLOUT)
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -41,8 +41,8 @@
 # most `MAX_PATIENCE_S`) and `KILL_S` after the signal; with short deadlines the longer phases end sooner.
 MAX_PATIENCE_S = 3.0
 KILL_S = 0.7
-LAST_ANSWER_S = 0.15  # before the kill: every request that was accepted has its answer
-LINGER_LAST_S = 0.05  # before the kill: the last connection is closed
+LAST_ANSWER_S = 0.25  # before the kill: every request that was accepted has its answer
+LINGER_LAST_S = 0.15  # before the kill: the last connection is closed; the interpreter ends in 0.04 s, idle
 DRAIN_IDLE_S = 0.45  # then idle connections are closed, while a resent request still finds the listener
 DRAIN_LISTEN_S = 0.65  # the shortest time for which the socket listens
 DRAIN_QUIET_S = 0.2  # without a new connection, after which the socket stops listening
