Name cordons by the field's word, and give files that processes share a module of their own

ops/bans.py is ops/cordons.py (cordon, uncordon, cordoned, MAX_CORDONED), replace_file and the locks are in ops/files.py. Nothing else changes; the text in the file and the operators' calls keep their words.

--- a/garnethaven/ops/service.py
+++ b/garnethaven/ops/service.py
@@ -9,7 +9,7 @@
 from garnethaven.addresses import Address
 from garnethaven.engine.engine import Engine
 from garnethaven.membership.list_reader import number_of
-from garnethaven.ops.bans import BansError
+from garnethaven.ops.cordons import CordonError
 from garnethaven.ops.figures import Endpoints, rendered
 from garnethaven.ops.front import Front, Routes
 from garnethaven.ops.shared import Shared
@@ -90,12 +90,12 @@
         except UnicodeDecodeError:
             return 404, "no such endpoint\n"
         listed = number_of(endpoint) in self.engine.balancer.servers
-        if not listed and endpoint not in self.shared.bans.out:
+        if not listed and endpoint not in self.shared.cordons.cordoned:
             return 404, "no such endpoint\n"
         kept, changes = True, [(endpoint, out)]
         try:
             changes += [one for one in self.shared.change(endpoint, out) if one[0] != endpoint]
-        except BansError as problem:
+        except CordonError as problem:
             return 503, f"{problem}\n"
         except OSError as problem:
             self.engine.log(f"{endpoint} by hand is not kept for another process: {problem}")
--- a/garnethaven/ops/shared.py
+++ b/garnethaven/ops/shared.py
@@ -7,7 +7,7 @@
 
 | file | holds |
 | --- | --- |
-| `petrelspan-NAME.json` | who is out by hand (bans.py); replaced as a whole, under the lock |
+| `petrelspan-NAME.json` | who is out by hand (cordons.py); replaced as a whole, under the lock |
 | `petrelspan-NAME.new` | the next of these while it is written; replaced too where a kill left it |
 | `petrelspan-NAME.lock` | nothing; locked for a change |
 | `petrelspan-NAME-PID.life` | nothing; locked for as long as that process lives, however it ends |
@@ -18,11 +18,11 @@
 import contextlib
 import fcntl
 import os
-import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
-from garnethaven.ops.bans import TEXT_MOST, Bans, BansError
+from garnethaven.ops.cordons import MAX_TEXT_BYTES, CordonError, Cordons
+from garnethaven.ops.files import lock_soon, locked_file, replace_file
 
 LIFE = ".life"
 LOCK_WAIT_SECONDS = (
@@ -64,42 +64,14 @@
     return False
 
 
-def sync_folder(folder: Path) -> None:
-    """Have the names in a folder outlive a loss of the machine; raises OSError."""
-    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
-def replace_file(path: Path, aside: Path, content: bytes) -> None:
-    """Put `content` in the place of a file, as a whole or not at all, and have it outlive the machine.
-
-    It is written to `aside` first, which must be in the same folder. Raises OSError; the old file is still
-    there then, or, where only the sync of the folder failed, the new one.
-    """
-    try:
-        with open(aside, "wb") as file:
-            file.write(content)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(aside, path)
-    except OSError:
-        with contextlib.suppress(OSError):
-            aside.unlink()  # it may be what fills the disk
-        raise
-    sync_folder(path.parent)
-
-
 class Shared:
-    """Bans that outlive the process, and who else serves under this name.
+    """Cordons that outlive the process, and who else serves under this name.
 
     Without a folder all of it holds in this process alone.
     """
 
     def __init__(self, folder: str | None, name: str, log: Callable[[str], None]) -> None:
-        self.bans = Bans(name)
+        self.cordons = Cordons(name)
         self.log = log
         self.folder = Path(folder) if folder else None
         self.prefix = prefix_of(name)
@@ -116,7 +88,7 @@
             return
         path = self.folder / f"{self.prefix}-{os.getpid()}{LIFE}"
         try:
-            self.life = _locked_file(path)
+            self.life = locked_file(path)
         except OSError as problem:
             self._fails("life", f"other processes can't see this one: {problem}")
             return
@@ -144,7 +116,7 @@
             os.unlink(path)
         return False
 
-    # Bans
+    # Cordons
 
     def news(self) -> list[tuple[str, bool]]:
         """What another process has changed since the last look: ids and whether they are out.
@@ -154,7 +126,7 @@
         if self.folder is None:
             return []
         try:
-            self._save() if self.bans.unsaved else self._merge()
+            self._save() if self.cordons.unsaved else self._merge()
         except OSError as problem:
             self._fails("bans", f"{self._path()} can't be used now: {problem}")
         else:
@@ -165,12 +137,12 @@
         """Take an endpoint out or put it back, for all processes; what else has changed meanwhile.
 
         Raises OSError where it can't be kept yet: it holds in this process all the same, and `news` tries to
-        keep it. Raises BansError, and changes nothing, where too many are out.
+        keep it. Raises CordonError, and changes nothing, where too many are out.
         """
         if out:
-            self.bans.take_out(endpoint)
+            self.cordons.cordon(endpoint)
         else:
-            self.bans.put_back(endpoint)
+            self.cordons.uncordon(endpoint)
         self.changes.pop(endpoint, None)  # an older one of another process
         self._save()
         return self._take_changes()
@@ -191,29 +163,29 @@
         """
         try:
             with open(self._path(), encoding="utf-8", errors="replace") as file:
-                text = file.read(TEXT_MOST + 1)
+                text = file.read(MAX_TEXT_BYTES + 1)
         except FileNotFoundError:
             return
         if text == self.last_text:
             return
         self.last_text = text
         try:
-            self.changes |= self.bans.read(text)
-        except BansError as problem:
+            self.changes |= self.cordons.read(text)
+        except CordonError as problem:
             self.log(f"{self._path()} is left alone: {problem}")
 
     def _save(self) -> None:
         """Write the own changes together with those of others; raises OSError."""
         if self.folder is None:
-            self.bans.saved()
+            self.cordons.saved()
             return
         with self._locked():
             self._merge()  # where that fails nothing is written: it would undo what others have changed
             self._remove_leftovers()
-            text = self.bans.text()
+            text = self.cordons.text()
             replace_file(self._path(), self.folder / f"{self.prefix}.new", text.encode())
         self.last_text = text
-        self.bans.saved()
+        self.cordons.saved()
 
     def _remove_leftovers(self) -> None:
         """Remove what earlier versions left half written; only for the holder of the lock."""
@@ -228,7 +200,7 @@
         path = self.folder / f"{self.prefix}.lock"
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
-            _lock_soon(descriptor)
+            lock_soon(descriptor)
             yield
         finally:
             os.close(descriptor)
@@ -243,35 +215,3 @@
 
     def _works(self, what: str) -> None:
         self.problems.pop(what, None)
-
-
-def _lock_soon(descriptor: int) -> None:
-    """Lock a file that others lock for moments only; raises BlockingIOError where one holds it for longer.
-
-    A process that was stopped while it held the lock must not stop this one too.
-    """
-    until = time.monotonic() + LOCK_WAIT_SECONDS
-    while True:
-        try:
-            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            return
-        except BlockingIOError:
-            if time.monotonic() >= until:
-                raise
-        time.sleep(LOCK_PAUSE_SECONDS)
-
-
-def _locked_file(path: Path) -> int:
-    """The descriptor of a file that is locked for as long as this process lives; raises OSError.
-
-    Another process may look at it between its making and its locking, and take it away as a dead one's.
-    """
-    descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-    try:
-        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        if os.fstat(descriptor).st_nlink == 0:
-            raise FileNotFoundError(f"{path} was taken away before it was locked")
-    except OSError:
-        os.close(descriptor)
-        raise
-    return descriptor
--- a/tests/membership/test_sizes.py
+++ b/tests/membership/test_sizes.py
@@ -246,7 +246,7 @@
         ("membership.entries", "FLAWS_MOST"),
         ("membership.etcd.answers", "FRAGMENTS_MOST"),
         ("membership.zookeeper.following", "MEMBERS_MOST"),
-        ("ops.bans", "MOST"),
+        ("ops.cordons", "MAX_CORDONED"),
         ("peers.datagrams", "PROCESSES_MOST"),
         ("peers.datagrams", "SOURCES_MOST"),
         ("peers.membership", "OPEN_MOST"),
--- a/tests/ops/test_bans.py
+++ b/tests/ops/test_cordons.py
@@ -9,25 +9,25 @@
 
 import pytest
 
-from garnethaven.ops.bans import MOST, Bans, BansError
+from garnethaven.ops.cordons import MAX_CORDONED, CordonError, Cordons
 from garnethaven.ops.shared import Shared
 
 
 def test_a_call_may_come_twice_and_one_back_undoes_both() -> None:
-    bans = Bans("n0")
-    bans.take_out("s-1")
-    bans.take_out("s-1")
-    bans.put_back("s-1")
-    bans.put_back("s-1")
-    assert bans.out == set()
+    cordons = Cordons("n0")
+    cordons.cordon("s-1")
+    cordons.cordon("s-1")
+    cordons.uncordon("s-1")
+    cordons.uncordon("s-1")
+    assert cordons.cordoned == set()
 
 
 def test_what_another_process_wrote_is_told_as_changes() -> None:
-    one, other = Bans("n0"), Bans("n0")
-    one.take_out("s-1")
-    one.take_out("s/ü 2")
+    one, other = Cordons("n0"), Cordons("n0")
+    one.cordon("s-1")
+    one.cordon("s/ü 2")
     assert other.read(one.text()) == [("s-1", True), ("s/ü 2", True)]
-    one.put_back("s-1")
+    one.uncordon("s-1")
     assert other.read(one.text()) == [("s-1", False)]
     assert other.read(one.text()) == []
 
@@ -47,20 +47,20 @@
     ],
 )
 def test_what_this_sidecar_did_not_write_changes_nothing(text: str) -> None:
-    bans = Bans("n0")
-    bans.take_out("s-1")
-    with pytest.raises(BansError):
-        bans.read(text)
-    assert bans.out == {"s-1"}
+    cordons = Cordons("n0")
+    cordons.cordon("s-1")
+    with pytest.raises(CordonError):
+        cordons.read(text)
+    assert cordons.cordoned == {"s-1"}
 
 
 def test_there_is_an_end_to_them() -> None:
-    bans = Bans("n0")
-    for number in range(MOST):
-        bans.take_out(str(number))
-    with pytest.raises(BansError):
-        bans.take_out("one more")
-    bans.take_out("0")  # is out already
+    cordons = Cordons("n0")
+    for number in range(MAX_CORDONED):
+        cordons.cordon(str(number))
+    with pytest.raises(CordonError):
+        cordons.cordon("one more")
+    cordons.cordon("0")  # is out already
 
 
 def test_a_ban_reaches_the_other_process_and_a_later_one(tmp_path: Path) -> None:
@@ -80,7 +80,7 @@
     one, other = (Shared(str(tmp_path), "n0", print) for _ in range(2))
     one.change("s-1", True)
     assert other.change("s-2", True) == [("s-1", True)]
-    assert other.bans.out == {"s-1", "s-2"}
+    assert other.cordons.cordoned == {"s-1", "s-2"}
 
 
 def test_a_file_that_is_cut_is_left_alone(tmp_path: Path) -> None:
@@ -96,7 +96,7 @@
     shared = Shared(None, "n0", print)
     shared.enter()
     shared.change("s-1", True)
-    assert shared.bans.out == {"s-1"} and shared.others() == 0
+    assert shared.cordons.cordoned == {"s-1"} and shared.others() == 0
     gone = Shared(str(tmp_path / "none"), "n0", print)
     with pytest.raises(OSError):
         gone.change("s-1", True)
--- a/tests/ops/test_failing_folder.py
+++ b/tests/ops/test_failing_folder.py
@@ -81,11 +81,11 @@
     failing.fail(os, "replace", errno.ENOSPC, 1, lambda *_, **__: True)
     with pytest.raises(OSError):
         one.change("s-1", True)
-    assert failing.injected == 1 and one.bans.out == {"s-1"}
+    assert failing.injected == 1 and one.cordons.cordoned == {"s-1"}
     # Another process's change in between must neither undo it nor be undone by it.
     assert other.change("s-2", True) == []
     found = one.news() + one.news()
-    assert found == [("s-2", True)] and one.bans.out == {"s-1", "s-2"}
+    assert found == [("s-2", True)] and one.cordons.cordoned == {"s-1", "s-2"}
     assert other.news() == [("s-1", True)]
     assert Shared(str(tmp_path), "n0", print).news() == [("s-1", True), ("s-2", True)]
 
@@ -100,7 +100,7 @@
     failing.fail(os, call, errno.ENOSPC, times, lambda *_, **__: True)
     with pytest.raises(OSError):
         one.change("s-1", True)
-    assert one.bans.out == {"s-1"}
+    assert one.cordons.cordoned == {"s-1"}
     for _ in range(times):
         one.news()
     assert failing.injected == times
@@ -126,7 +126,7 @@
     failing.fail(os, "replace", errno.EIO, 1, lambda *_, **__: True)
     with pytest.raises(OSError):
         one.change("s-1", False)
-    assert one.news() == [] and one.bans.out == set()
+    assert one.news() == [] and one.cordons.cordoned == set()
     assert other.news() == [("s-1", False)]
 
 
@@ -136,7 +136,7 @@
     fcntl.flock(descriptor, fcntl.LOCK_EX)
     with pytest.raises(OSError):
         one.change("s-1", True)
-    assert one.bans.out == {"s-1"}
+    assert one.cordons.cordoned == {"s-1"}
     os.close(descriptor)
     one.news()
     assert Shared(str(tmp_path), "n0", print).news() == [("s-1", True)]
--- a/tests/ops/test_front.py
+++ b/tests/ops/test_front.py
@@ -136,7 +136,7 @@
             assert (await sidecar.ask(request()))[0] == 503 and peer.requests == []
             ops.close()
             ops, port = await opened(sidecar, tmp_path)  # as a next version does
-            assert ops.shared.bans.out == {"s0"}
+            assert ops.shared.cordons.cordoned == {"s0"}
             ops.close()
 
     run(case())
