--- a/garnethaven/membership/cache.py
+++ b/garnethaven/membership/cache.py
@@ -2,7 +2,7 @@
 
 What it holds was true once: the first list of the registry replaces it as a whole. A file that is missing,
 broken or of another form is none; it can't be trusted to be complete. Written aside and renamed, at most
-once a second.
+once a second; a write that fails is tried again after as long.
 """
 
 from __future__ import annotations
@@ -34,6 +34,8 @@
         self.clock_offset = clock_offset
         self.facts: Mapping[str, Fact] = {}
         self.timer: asyncio.TimerHandle | None = None
+        self.problem = ""  # of the last write, told once
+        self.closed = False
 
     def read(self) -> dict[str, Fact]:
         """What was kept; nothing where there is no sound file."""
@@ -57,6 +59,7 @@
             self.timer = self.loop.call_later(EVERY_S, self._write)
 
     def close(self) -> None:
+        self.closed = True
         if self.timer is not None:
             self.timer.cancel()
             self._write()
@@ -69,7 +72,17 @@
             aside.write_text(json.dumps(told))
             os.replace(aside, self.path)
         except OSError as problem:
-            self.log(f"registry: {self.path} can't be written: {problem}")
+            self._fails(f"registry: {self.path} can't be written: {problem}")
+        else:
+            self.problem = ""
+
+    def _fails(self, problem: str) -> None:
+        """Tell of a problem once, and write again soon."""
+        if problem != self.problem:
+            self.log(problem)
+        self.problem = problem
+        if not self.closed:
+            self.keep(self.facts)
 
     def _told(self, fact: Fact) -> list[object]:
         entry = fact.entry
