--- a/rigs/soak.py
+++ b/rigs/soak.py
@@ -208,9 +208,10 @@
 
 
 async def _slow(stage: Stage) -> None:
-    """A server is six times slower, another fails every second request."""
+    """Two servers are six times slower, and one of them fails every second request: retries begin late."""
     slow, failing = stage.rng.sample(stage.servers, 2)
-    slow.slow, failing.error_rate = 6.0, 0.5
+    slow.slow = failing.slow = 6.0
+    failing.error_rate = 0.5
 
 
 async def _discovery_down(stage: Stage) -> None:
