--- a/garnethaven/recovery/start_times.py
+++ b/garnethaven/recovery/start_times.py
@@ -34,9 +34,7 @@
 from dataclasses import dataclass, field
 
 SECOND = 1_000_000_000
-LIST_LAG = (
-    6 * SECOND
-)  # between a start and discovery's telling of it; the time a change counts as known after
+LIST_LAG = 6 * SECOND  # between a start and discovery's telling of it, as for any change
 REMEMBERED = 60 * SECOND  # for which the starts of a server that is no longer listed are kept
 MAX_LIVES = 4  # claimed starts of one id that are told apart; a server seldom starts that often in a minute
 
