Build the soak's clients on the stand-ins' lines, and name errnos out of room once

From reading the change again, behaviour as it was: rigs/soak_callers.py had written standins.clients.Line and Allowance again, and calls them; the judge asked the ledger for repeats once for each request, and does once; a count nobody read, an environment nobody passed, a bound that stood twice and a second wait at the end are gone; listener.py's errnos without room are own_failures.py's.

--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import math
 import socket
 import time
@@ -18,6 +17,7 @@
 from garnethaven.limits.places import CALM_WAIT_S, FIRST_S, Places, Usage
 from garnethaven.net.client import DEFERRED_READ_S, ClientConnection
 from garnethaven.net.flow import RECEIVE_BUFFER
+from garnethaven.net.own_failures import OUT_OF_RESOURCES
 from garnethaven.net.owner import OwnedConnection
 from garnethaven.net.transport import HttpTransport
 
@@ -32,7 +32,6 @@
 MAX_LINGERING = 16  # lingering connections above the limit; beyond it the oldest are aborted
 ACCEPT_RETRY_S = 0.1  # after an accept failed for want of descriptors or memory, or again and again
 MAX_FAILED_ACCEPTS = 8  # in one event: each may be a client that went away while it waited
-OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 START_PATIENCE_S = 5.0  # for the listening socket of a process that starts, where there is no room for one
 LISTEN_BACKLOG = 1024
 
--- a/garnethaven/net/own_failures.py
+++ b/garnethaven/net/own_failures.py
@@ -17,18 +17,8 @@
 
 import errno
 
-NO_ROOM = frozenset(
-    {
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-        errno.EAGAIN,
-        errno.EADDRNOTAVAIL,
-        errno.EADDRINUSE,
-        errno.EINTR,
-    }
-)
+OUT_OF_RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+NO_ROOM = OUT_OF_RESOURCES | {errno.EAGAIN, errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.EINTR}
 NO_PATH = frozenset({errno.ENETUNREACH, errno.ENETDOWN, errno.EPERM, errno.EACCES})
 
 FIRST_PAUSE_SECONDS = 0.01  # before the next try; doubled each time
--- a/garnethaven/ops/files.py
+++ b/garnethaven/ops/files.py
@@ -11,9 +11,7 @@
 import time
 from pathlib import Path
 
-LOCK_WAIT_SECONDS = (
-    0.05  # for another process's write of some kilobytes; the event loop stands still meanwhile
-)
+LOCK_WAIT_SECONDS = 0.05  # for another process's write; the event loop stands still meanwhile
 LOCK_PAUSE_SECONDS = 0.002
 
 
--- a/rigs/soak.py
+++ b/rigs/soak.py
@@ -32,7 +32,6 @@
 KILL_AFTER_S = 0.7  # and the longest deadline: the earliest kill after the first signal to end
 MAX_DEADLINE_S = 3.0
 NEW_CONNECTIONS_S = 0.4  # after the first signal to end clients open no more
-READY_MOST_S = 10.0
 CROWD = 100  # connections that say nothing, more than there are places for with `CROWD_SOCKETS`
 CROWD_SOCKETS = 192
 
@@ -96,11 +95,10 @@
 class Play:
     """One seed."""
 
-    def __init__(self, seed: int, environment: dict[str, str] | None = None) -> None:
+    def __init__(self, seed: int) -> None:
         self.seed = seed
         self.rng = random.Random(seed)
         self.plan = Plan.draw(self.rng)
-        self.environment = environment
         sockets = CROWD_SOCKETS if self.plan.crowd else SOCKETS
         self.stage = Stage(seed, SERVERS, sockets, ramp_s=4.0, work_s=0.04)
         self.judge = Judge(self.stage.ledger)
@@ -119,7 +117,7 @@
 
     async def _run(self) -> Verdict:
         stage, judge = self.stage, self.judge
-        program = await stage.up(self.plan.settings(), self.environment)
+        program = await stage.up(self.plan.settings())
         callers = Callers(program.port, judge, self.plan.deadlines_s, self.rng, RATE)
         async with keeping_book(stage):
             self._begin(callers.run())
@@ -128,8 +126,6 @@
             await self._trouble()
             await self._end(program, callers)
             await self._second_life(program, callers)
-            callers.stop()
-            await callers.settle()
         return judge.verdict()
 
     def _begin(self, work: Any) -> None:
@@ -158,14 +154,13 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(program.process.wait(), kill_at - time.monotonic())
         if program.process.returncode is None:
-            self.judge.unended = self.judge.unended or callers.under_way == 0
             self.judge.killed += 1
         await program.kill()
         self.judge.exit_codes.append(program.process.returncode)
         callers.ended()
 
     async def _second_life(self, program: Program, callers: Callers) -> None:
-        """A start at once, under the clients that went on, and a plain end."""
+        """A start at once, under the clients that went on, until they have stopped."""
         began = time.monotonic()
         self.stage.discovery.begins_anew(self.stage.discovery.views[0])
         await program.start()
--- a/rigs/soak_callers.py
+++ b/rigs/soak_callers.py
@@ -9,6 +9,7 @@
 from itertools import count
 
 from rigs.soak_judge import Judge
+from standins.clients import Allowance, Line
 from standins.errands import Errands
 from standins.ledger import Final, Sent
 from standins.wire import Message, WireError, read_message, request
@@ -20,18 +21,6 @@
 MAX_SENDINGS = 3  # of a request whose connection was closed unread
 
 
-class Line:
-    """One connection of a client."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader = reader
-        self.writer = writer
-        self.used = False
-
-    def ended(self) -> bool:
-        return self.reader.at_eof() or self.reader.exception() is not None or self.writer.is_closing()
-
-
 class Callers:
     """Open-loop arrivals on one program's port until `stop`."""
 
@@ -44,10 +33,9 @@
         self.rng = random.Random(rng.getrandbits(32))
         self.rate = rate
         self.idle: list[Line] = []
-        self.open = 0
+        self.allowance = Allowance(MAX_CONNECTIONS)
         self.dial_until = float("inf")  # no new connections later
         self.alive = True
-        self.under_way = 0
         self.errands = Errands()
         self.numbers = count()
 
@@ -65,7 +53,7 @@
     def ended(self) -> None:
         """The program has ended: nothing kept leads anywhere."""
         for line in self.idle:
-            self._close(line)
+            line.close()
         self.idle.clear()
 
     async def settle(self) -> None:
@@ -80,19 +68,15 @@
         key = f"k-{call_id}" if effect == "keyed" else ""
         text = self._text(effect, call_id, key, budget_s)
         sent = self.judge.ledger.sends(call_id, key, time.monotonic(), int(budget_s * 1000) / 1000, True)
-        self.under_way += 1
-        try:
-            for _ in range(MAX_SENDINGS):
-                line = await self._line()
-                if line is None:
-                    sent.gone = True  # nobody took it
-                    return
-                if not await self._exchange(line, text, sent):
-                    return
-                self.judge.unread.add(call_id)
-            sent.gone = True
-        finally:
-            self.under_way -= 1
+        for _ in range(MAX_SENDINGS):
+            line, kept = await self._line()
+            if line is None:
+                break  # nobody took it
+            ended_unread = await self._exchange(line, text, sent)
+            if not (kept and ended_unread):
+                return
+            self.judge.unread.add(call_id)
+        sent.gone = True
 
     @staticmethod
     def _text(effect: str, call_id: str, key: str, budget_s: float) -> bytes:
@@ -108,27 +92,20 @@
         safe = effect == "safe"
         return request("GET" if safe else "POST", "/api?user=u1", headers, b"" if safe else b"{}")
 
-    async def _line(self) -> Line | None:
+    async def _line(self) -> tuple[Line | None, bool]:
+        """A connection, the freshest idle one or else a new one, and whether it was kept."""
         while self.idle:
             line = self.idle.pop()
             if not line.ended():
-                return line
-            self._close(line)
-        if time.monotonic() > self.dial_until or self.open >= MAX_CONNECTIONS:
-            return None
-        with contextlib.suppress(OSError, TimeoutError):
-            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.port), 1.0)
-            self.open += 1
-            return Line(reader, writer)
-        return None
-
-    def _close(self, line: Line) -> None:
-        self.open -= 1
-        line.writer.transport.abort()
+                return line, True
+            line.close()
+        if time.monotonic() <= self.dial_until:
+            with contextlib.suppress(OSError, TimeoutError):
+                return await Line.dial(self.port, self.allowance), False
+        return None, False
 
     async def _exchange(self, line: Line, text: bytes, sent: Sent) -> bool:
-        """Whether the request is to be sent again: its kept connection was closed unread."""
-        kept, line.used = line.used, True
+        """Whether the connection ended with nothing of an answer, before its client gave up."""
         leaves = self.rng.random() < LEAVES
         try:
             await self._write(line, text, sent)
@@ -137,7 +114,7 @@
                 patience_s = self.rng.uniform(0.0, sent.budget_s)
             answer = await asyncio.wait_for(read_message(line.reader), patience_s)
         except TimeoutError:
-            self._close(line)
+            line.close()
             if leaves:
                 sent.gone = True
                 self.judge.left_at[sent.id] = time.monotonic()
@@ -145,11 +122,11 @@
         except (OSError, WireError, asyncio.IncompleteReadError):
             answer = None
         if answer is None:
-            self._close(line)
-            return kept
+            line.close()
+            return True
         self._note(sent, answer)
         if answer.closes:
-            self._close(line)
+            line.close()
         else:
             self.idle.append(line)
         return False
--- a/rigs/soak_judge.py
+++ b/rigs/soak_judge.py
@@ -52,7 +52,6 @@
     told_too_much: list[tuple[str, float]] = field(default_factory=list)
     exit_codes: list[int | None] = field(default_factory=list)
     killed: int = 0
-    unended: bool = False  # alive at the kill with nothing under way
     ready_s: float = 0.0
 
     async def watch_lag(self) -> None:
@@ -99,12 +98,13 @@
 
         slack = self.lag_s
         sent = self.ledger.sent.values()
+        broken_keys = set(self.ledger.twice())
         note("no answer", self.ledger.missing())
         note("late", [one.id for one in sent if self._late(one)])
         note("wrong answer", self.ledger.wrong_answers)
         note("answered twice", self.ledger.doubled())
         note("ran, and its client does not know", [one.id for one in sent if self._unknown(one)])
-        note("run twice", [one for one in self.ledger.ran if self._twice(one)])
+        note("run twice", [one for one in self.ledger.ran if self._twice(one, broken_keys)])
         note("drain", [late for late in self.ledger.late_sends if late[2] > 0.5 + 0.05 + slack])
         note("cold", [life.server for life in self.ledger.lives if self.ledger.pushed_over(life)])
         note("after its client left", [one for one in self.late_begins if one[1] > LEFT_S + slack])
@@ -122,7 +122,8 @@
         ran = one.id in self.ledger.ran and one.id not in self.left_at
         return ran and one.final is None and one.id in self.unread
 
-    def _twice(self, call_id: str) -> bool:
+    def _twice(self, call_id: str, broken_keys: set[str]) -> bool:
+        """Whether a request broke the rule of its class; `broken_keys` broke that of keyed ones."""
         runs, sent = self.ledger.ran[call_id], self.ledger.sent[call_id]
         effect = call_id.split("-")[0]
         if effect == "safe":
@@ -130,7 +131,7 @@
         refused = sent.final == "refused" and any(run.at <= sent.final_at for run in runs)
         if effect == "unsafe":
             return refused or len(runs) > 1
-        return refused or call_id in set(self.ledger.twice())
+        return refused or call_id in broken_keys
 
 
 class WatchedServer(CheckServer):
