Add a review case: an offered upgrade strips a request's body and reads it as requests

Cause: when the parser reports an upgrade, the request reader goes on behind the head with a new parser, so the body of the request is read as further requests. Change: review/1 with its script and claim; the two earlier cases become review/2 and review/3, and the stand-ins are cut down to what the three scripts use.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,10 @@
-"""A refused request with a long body leaves its connection unread: the next request on it is lost."""
+"""A request that offers an upgrade is forwarded without its body, which is read as further requests."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import random
-import signal
 import sys
 import time
 from pathlib import Path
@@ -19,7 +19,6 @@
     Program,
     Rack,
     Record,
-    Unrunnable,
     post,
     read_message,
     run_case,
@@ -27,81 +26,81 @@
 )
 
 SERVERS = 4
-BACK_AT_ONCE = 40  # of 256 descriptors: clients hold a third of them at most
-LONG = (70_000, 100_000)  # bytes; bodies may have up to 32 MB
+CLIENTS = 8
+REQUESTS = 20  # of each client
+OFFERS_EVERY = 5  # one request in five offers the upgrade
+UPGRADE = b"Connection: Upgrade\r\nUpgrade: h2c\r\n"
 BUDGET_S = 2.0
 LATE_S = 0.5  # up to half a second after its time an answer only earns nothing; later it is lost
-WARM_UP_S = 4.0
 
 
-class Clients:
-    """The clients: one request at a time on a connection, which they keep."""
+class Client:
+    """A client that keeps its connection and sends one request at a time."""
 
-    def __init__(self, record: Record, program: Program, arrivals: Arrivals) -> None:
+    def __init__(
+        self, number: int, record: Record, program: Program, arrivals: Arrivals, offers: bool
+    ) -> None:
+        self.name = f"client{number}"
+        self.rng = random.Random(number)
         self.record = record
         self.program = program
         self.arrivals = arrivals
-        self.rng = random.Random(56)
+        self.offers = offers
         self.broken: list[str] = []
-        self.tally: dict[str, int] = {}
-
-    async def ask(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, call_id: str, size: int
-    ) -> bool:
-        """Send one request and judge its answer; returns whether the connection may be used again."""
-        writer.write(post(call_id, f"key-{call_id}", int(BUDGET_S * 1000), bytes(size)))
-        await writer.drain()
-        sent_at = time.monotonic()
-        self.record.add(f"client: {call_id} is written whole, {size} bytes of body")
+
+    def _body(self, call_id: str) -> bytes:
+        """An applicant's file; every second one holds the text of an earlier message."""
+        file: dict[str, object] = {"tenant": call_id, "income": self.rng.randrange(20_000, 90_000)}
+        if self.rng.random() < 0.5:
+            return json.dumps(file).encode()
+        return post(f"quoted-in-{call_id}", "k", 2000, b"an earlier message")
+
+    async def run(self) -> None:
+        connection = None
+        for number in range(REQUESTS):
+            call_id = f"{self.name}-{number}"
+            body = self._body(call_id)
+            request = post(call_id, f"key-{call_id}", int(BUDGET_S * 1000), body)
+            offered = self.offers and number % OFFERS_EVERY == OFFERS_EVERY - 1
+            if offered:
+                head, _, rest = request.partition(b"\r\n\r\n")
+                request = head + b"\r\n" + UPGRADE + b"\r\n" + rest
+            self.arrivals.sent[call_id] = body
+            if connection is None:
+                connection = await asyncio.open_connection("127.0.0.1", self.program.port)
+            reader, writer = connection
+            writer.write(request)
+            self.record.add(
+                f"{self.name}: {call_id} is written, {len(body)} bytes of body{', offers h2c' * offered}"
+            )
+            if not await self._judge(call_id, reader, time.monotonic()):
+                writer.close()
+                connection = None
+            await asyncio.sleep(self.rng.uniform(0.02, 0.1))
+
+    async def _judge(self, call_id: str, reader: asyncio.StreamReader, sent_at: float) -> bool:
+        """Judge the answer; returns whether the connection may be used again."""
         try:
             answer = await asyncio.wait_for(read_message(reader), BUDGET_S + LATE_S)
         except TimeoutError:
-            self._note("lost", f"{call_id} has no answer {BUDGET_S + LATE_S:g} s after its last byte")
+            self._note(f"{call_id} has no answer {BUDGET_S + LATE_S:g} s after its last byte")
             return False
         except (OSError, asyncio.IncompleteReadError) as problem:
-            self._note("lost", f"{call_id}: the connection ended with no whole answer ({problem!r})")
+            self._note(f"{call_id}: the connection ended with no whole answer ({problem!r})")
             return False
-        if answer is None:  # closed between two requests: not counted here
-            self.record.add(f"client: {call_id}: the connection was closed with no answer")
+        if answer is None:  # closed between two requests: the client may send it once more
+            self.record.add(f"{self.name}: the connection was closed under {call_id}")
             return False
         word = {200: "served", 503: "refused", 429: "refused"}.get(answer.status, "failed")
-        self.tally[word] = self.tally.get(word, 0) + 1
-        self.record.add(f"client: {call_id} is {word} after {time.monotonic() - sent_at:.3f} s")
+        seconds = time.monotonic() - sent_at
+        self.record.add(f"{self.name}: {call_id} is {word}, {answer.status} after {seconds:.3f} s")
         if word == "served" and answer.body not in self.arrivals.answers.get(call_id, ()):
-            self._note("lost", f"{call_id} is served with what no server made for it")
+            self._note(f"{call_id} is served with what no server made for it")
         return not answer.closes
 
-    def _note(self, word: str, text: str) -> None:
-        self.tally[word] = self.tally.get(word, 0) + 1
+    def _note(self, text: str) -> None:
         self.broken.append(text)
-        self.record.add(f"client: {text}")
-
-    async def dial(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        return await asyncio.open_connection("127.0.0.1", self.program.port)
-
-    async def warm_up(self, seconds: float) -> None:
-        """Short requests on 20 connections, 150 a second."""
-
-        async def one(number: int) -> None:
-            reader, writer = await self.dial()
-            until, turn = time.monotonic() + seconds, 0
-            while time.monotonic() < until:
-                turn += 1
-                if not await self.ask(reader, writer, f"warm{number}-{turn}", 200):
-                    reader, writer = await self.dial()
-                await asyncio.sleep(0.08)
-            writer.close()
-
-        await asyncio.gather(*map(one, range(20)))
-
-    async def long_then_short(self, name: str) -> None:
-        """A long request, a pause, and a short one on the same connection."""
-        reader, writer = await self.dial()
-        if await self.ask(reader, writer, f"{name}-long", self.rng.randrange(*LONG)):
-            await asyncio.sleep(self.rng.uniform(0.3, 1.0))
-            if not reader.at_eof():
-                await self.ask(reader, writer, f"{name}-next", 200)
-        writer.close()
+        self.record.add(f"{self.name}: {text}")
 
 
 async def case(record: Record, trouble: bool) -> list[str]:
@@ -113,29 +112,16 @@
         await server.start()
     discovery.publish(*(server.member() for server in servers))
     program = Program(record, discovery.port, settings(), discovery.whole())
-    program.configuration["limits"]["sockets"] = 256
-    clients = Clients(record, program, arrivals)
+    clients = [Client(number, record, program, arrivals, trouble) for number in range(CLIENTS)]
     try:
         await program.start()
-        await clients.warm_up(WARM_UP_S)
-        if clients.broken:
-            raise Unrunnable("the rule was broken before the disruption")
-        if trouble:
-            assert program.process is not None
-            program.send_signal(signal.SIGKILL)
-            await program.process.wait()
-            await program.start()
-        await asyncio.gather(*(clients.long_then_short(f"back{number}") for number in range(BACK_AT_ONCE)))
-        assert program.process is not None
-        if program.process.returncode is not None:
-            clients.broken.append(f"the sidecar has ended with {program.process.returncode}")
+        await asyncio.gather(*(client.run() for client in clients))
     finally:
         await program.end()
         discovery.close()
         for server in servers:
             server.close()
-    record.add(f"answers: {clients.tally}")
-    return clients.broken
+    return arrivals.mangled + [line for client in clients for line in client.broken]
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""At a planned restart a request that its client writes slowly is closed with no answer, half read."""
+"""A refused request with a long body leaves its connection unread: the next request on it is lost."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import sys
 import time
@@ -18,6 +19,7 @@
     Program,
     Rack,
     Record,
+    Unrunnable,
     post,
     read_message,
     run_case,
@@ -25,70 +27,81 @@
 )
 
 SERVERS = 4
-BUDGET_S = 3.0
+BACK_AT_ONCE = 40  # of 256 descriptors: clients hold a third of them at most
+LONG = (70_000, 100_000)  # bytes; bodies may have up to 32 MB
+BUDGET_S = 2.0
 LATE_S = 0.5  # up to half a second after its time an answer only earns nothing; later it is lost
-HEAD_S = 1.9  # a client may take 2 s for a head
-PIECES = 38
-# When the clients begin to write, before the SIGTERM. They are done 1.45 to 1.8 s after it; SIGKILL may come
-# no sooner than 3.7 s after it.
-LEADS_S = (0.45, 0.4, 0.35, 0.3, 0.25, 0.2, 0.15, 0.1)
+WARM_UP_S = 4.0
 
 
-class Client:
-    """A client that keeps its connection: one quick request, then one whose head takes `HEAD_S`."""
+class Clients:
+    """The clients: one request at a time on a connection, which they keep."""
 
-    def __init__(self, record: Record, program: Program, arrivals: Arrivals, number: int) -> None:
+    def __init__(self, record: Record, program: Program, arrivals: Arrivals) -> None:
         self.record = record
         self.program = program
         self.arrivals = arrivals
-        self.name = f"client{number}"
+        self.rng = random.Random(56)
         self.broken: list[str] = []
-
-    async def connect(self) -> None:
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.program.port)
-        self.writer.write(post(f"{self.name}-quick", f"key-{self.name}-quick", 3000, b"applicant"))
-        await self._judge(f"{self.name}-quick", time.monotonic())
-
-    async def write_slowly(self, begin_at: float) -> None:
-        await asyncio.sleep(max(0.0, begin_at - time.monotonic()))
-        call_id = f"{self.name}-slow"
-        request = post(call_id, f"key-{call_id}", int(BUDGET_S * 1000), b"applicant")
-        step = len(request) // PIECES
-        pause_s = HEAD_S / ((len(request) - 1) // step)
-        self.record.add(f"{self.name}: begins to write {call_id}, {len(request)} bytes")
-        for start in range(0, len(request), step):
-            try:
-                self.writer.write(request[start : start + step])
-                await self.writer.drain()
-            except OSError as problem:  # ended before the last byte: not taken
-                self.record.add(f"{self.name}: {call_id} can't be written whole: {problem!r}")
-                return
-            if start + step < len(request):
-                await asyncio.sleep(pause_s)
-        self.record.add(f"{self.name}: {call_id} is written whole")
-        await self._judge(call_id, time.monotonic())
-        self.writer.close()
-
-    async def _judge(self, call_id: str, sent_at: float) -> None:
+        self.tally: dict[str, int] = {}
+
+    async def ask(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, call_id: str, size: int
+    ) -> bool:
+        """Send one request and judge its answer; returns whether the connection may be used again."""
+        writer.write(post(call_id, f"key-{call_id}", int(BUDGET_S * 1000), bytes(size)))
+        await writer.drain()
+        sent_at = time.monotonic()
+        self.record.add(f"client: {call_id} is written whole, {size} bytes of body")
         try:
-            answer = await asyncio.wait_for(read_message(self.reader), BUDGET_S + LATE_S)
+            answer = await asyncio.wait_for(read_message(reader), BUDGET_S + LATE_S)
         except TimeoutError:
-            self._lost(f"{call_id} has no answer {BUDGET_S + LATE_S:g} s after its last byte")
-            return
+            self._note("lost", f"{call_id} has no answer {BUDGET_S + LATE_S:g} s after its last byte")
+            return False
         except (OSError, asyncio.IncompleteReadError) as problem:
-            self._lost(f"{call_id}: the connection ended with no whole answer ({problem!r})")
-            return
-        if answer is None:
-            self._lost(f"{call_id}: its last byte was written, the connection was closed with no answer")
-            return
+            self._note("lost", f"{call_id}: the connection ended with no whole answer ({problem!r})")
+            return False
+        if answer is None:  # closed between two requests: not counted here
+            self.record.add(f"client: {call_id}: the connection was closed with no answer")
+            return False
         word = {200: "served", 503: "refused", 429: "refused"}.get(answer.status, "failed")
-        self.record.add(f"{self.name}: {call_id} is {word} after {time.monotonic() - sent_at:.3f} s")
+        self.tally[word] = self.tally.get(word, 0) + 1
+        self.record.add(f"client: {call_id} is {word} after {time.monotonic() - sent_at:.3f} s")
         if word == "served" and answer.body not in self.arrivals.answers.get(call_id, ()):
-            self._lost(f"{call_id} is served with what no server made for it")
+            self._note("lost", f"{call_id} is served with what no server made for it")
+        return not answer.closes
 
-    def _lost(self, text: str) -> None:
+    def _note(self, word: str, text: str) -> None:
+        self.tally[word] = self.tally.get(word, 0) + 1
         self.broken.append(text)
-        self.record.add(f"{self.name}: {text}")
+        self.record.add(f"client: {text}")
+
+    async def dial(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.program.port)
+
+    async def warm_up(self, seconds: float) -> None:
+        """Short requests on 20 connections, 150 a second."""
+
+        async def one(number: int) -> None:
+            reader, writer = await self.dial()
+            until, turn = time.monotonic() + seconds, 0
+            while time.monotonic() < until:
+                turn += 1
+                if not await self.ask(reader, writer, f"warm{number}-{turn}", 200):
+                    reader, writer = await self.dial()
+                await asyncio.sleep(0.08)
+            writer.close()
+
+        await asyncio.gather(*map(one, range(20)))
+
+    async def long_then_short(self, name: str) -> None:
+        """A long request, a pause, and a short one on the same connection."""
+        reader, writer = await self.dial()
+        if await self.ask(reader, writer, f"{name}-long", self.rng.randrange(*LONG)):
+            await asyncio.sleep(self.rng.uniform(0.3, 1.0))
+            if not reader.at_eof():
+                await self.ask(reader, writer, f"{name}-next", 200)
+        writer.close()
 
 
 async def case(record: Record, trouble: bool) -> list[str]:
@@ -100,29 +113,29 @@
         await server.start()
     discovery.publish(*(server.member() for server in servers))
     program = Program(record, discovery.port, settings(), discovery.whole())
-    clients = [Client(record, program, arrivals, number) for number in range(len(LEADS_S))]
+    program.configuration["limits"]["sockets"] = 256
+    clients = Clients(record, program, arrivals)
     try:
         await program.start()
-        for client in clients:
-            await client.connect()
-        told_at = time.monotonic() + 1.0
-        pairs = zip(clients, LEADS_S, strict=True)
-        slow = [asyncio.create_task(client.write_slowly(told_at - lead)) for client, lead in pairs]
-        await asyncio.sleep(told_at - time.monotonic())
-        assert program.process is not None
+        await clients.warm_up(WARM_UP_S)
+        if clients.broken:
+            raise Unrunnable("the rule was broken before the disruption")
         if trouble:
-            program.send_signal(signal.SIGTERM)
-            code = await asyncio.wait_for(program.process.wait(), 3.7)
-            record.add(
-                f"platform: the sidecar ended with {code}, {time.monotonic() - told_at:.2f} s after SIGTERM"
-            )
-        await asyncio.gather(*slow)
+            assert program.process is not None
+            program.send_signal(signal.SIGKILL)
+            await program.process.wait()
+            await program.start()
+        await asyncio.gather(*(clients.long_then_short(f"back{number}") for number in range(BACK_AT_ONCE)))
+        assert program.process is not None
+        if program.process.returncode is not None:
+            clients.broken.append(f"the sidecar has ended with {program.process.returncode}")
     finally:
         await program.end()
         discovery.close()
         for server in servers:
             server.close()
-    return [line for client in clients for line in client.broken]
+    record.add(f"answers: {clients.tally}")
+    return clients.broken
 
 
 if __name__ == "__main__":
--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -49,9 +50,13 @@
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A free port below the range of outgoing connections, so that a restarted program finds it free."""
+    for _ in range(200):
+        port = random.randrange(12_000, 31_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise Unrunnable("no port is free")
 
 
 def settings(**changes: Any) -> dict[str, Any]:
@@ -236,8 +241,8 @@
     return head + b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in chunks) + b"0\r\n\r\n"
 
 
-def response(status: int, body: bytes = b"", *extra: str) -> bytes:
-    lines = [f"HTTP/1.1 {status} S", *extra, f"Content-Length: {len(body)}", "", ""]
+def response(status: int, body: bytes = b"") -> bytes:
+    lines = [f"HTTP/1.1 {status} S", f"Content-Length: {len(body)}", "", ""]
     return "\r\n".join(lines).encode() + body
 
 
@@ -324,11 +329,7 @@
 
 
 class CheckServer:
-    """One check server: reads a whole request, works for `work_s`, and answers.
-
-    Between `hold_back` and `let_in` its listening queue is full, as on a busy machine: a connection that is
-    asked for meanwhile comes up late, at the caller's next SYN, which the kernel sends after one second.
-    """
+    """One check server: reads a whole request, works for `work_s`, and answers."""
 
     def __init__(
         self, name: str, rack: Rack, record: Record, arrivals: Arrivals, work_s: float = 0.05
@@ -337,52 +338,13 @@
         self.rack = rack
         self.record = record
         self.arrivals = arrivals
-        self.work_s = self.long_work_s = work_s  # the second for bodies of over 64 KiB
-        self.closes_each = False  # closes each connection with its answer
+        self.work_s = work_s
         self.port = 0
-        self.sock = socket.socket()
-        self.fillers: list[socket.socket] = []  # of the listening queue
-        self.filler_names: set[Any] = set()
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self, backlog: int = 128) -> None:
-        self.sock.bind(("127.0.0.1", 0))
-        self.sock.listen(backlog)
-        self.sock.setblocking(False)
-        self.port = self.sock.getsockname()[1]
-        asyncio.get_running_loop().add_reader(self.sock, self._accept)
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                sock, name = self.sock.accept()
-                if name in self.filler_names:
-                    sock.close()
-                    continue
-                task = asyncio.get_running_loop().create_task(self._serve_socket(sock))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
-
-    async def _serve_socket(self, sock: socket.socket) -> None:
-        reader, writer = await asyncio.open_connection(sock=sock)
-        await self._serve(reader, writer)
-
-    def hold_back(self) -> None:
-        """Fill the listening queue (started with a backlog of 0) and accept nothing."""
-        asyncio.get_running_loop().remove_reader(self.sock)
-        for _ in range(3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            with contextlib.suppress(BlockingIOError):
-                filler.connect(("127.0.0.1", self.port))
-            self.filler_names.add(filler.getsockname())
-            self.fillers.append(filler)
-
-    def let_in(self) -> None:
-        while self.fillers:
-            self.fillers.pop().close()
-        asyncio.get_running_loop().add_reader(self.sock, self._accept)
-        self._accept()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=256)
+        self.port = self.server.sockets[0].getsockname()[1]
 
     def member(self, phase: str = "SERVING") -> dict[str, Any]:
         return {
@@ -400,47 +362,44 @@
         # Cancelled at the end of the script only.
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             while (message := await read_message(reader)) is not None:
-                answer, closes = await self._answer(message), self.closes_each
-                writer.write(answer)
+                writer.write(await self._answer(message))
                 await writer.drain()
-                if closes:
-                    break
         writer.close()
 
     async def _answer(self, message: Message) -> bytes:
         call_id, key = message.headers.get("x-call-id", ""), message.headers.get("idempotency-key", "")
-        extra = ["Connection: close"] if self.closes_each else []
         if message.first[1].startswith("/-/"):
-            return response(200, b"", *extra)
+            return response(200)
         budget_ms = int(message.headers.get("x-budget-ms", "0"))
         self.arrivals.all.append(Arrival(self.name, call_id, time.monotonic(), budget_ms, message.body))
         self.record.add(
             f"{self.name}: {call_id} has come, {len(message.body)} bytes of body, told {budget_ms} ms"
         )
-        sent = self.arrivals.sent.get(call_id)
-        if sent is not None and sent != message.body:
+        if self.arrivals.sent and self.arrivals.sent.get(call_id) != message.body:
+            sent = self.arrivals.sent.get(call_id)
+            form = f"sent were {len(sent)}" if sent is not None else "no client sent that id"
             self.arrivals.mangled.append(
-                f"{self.name} got {call_id} with {len(message.body)} bytes of body, sent were {len(sent)}"
+                f"{self.name} got {call_id} with {len(message.body)} bytes of body, {form}"
             )
             self.record.add(f"{self.name}: {call_id} was sent by no client in this form, answered 400")
-            return response(400, b"", *extra)
+            return response(400)
         now = time.monotonic()
         earlier = self.rack.done.get(key)
         if earlier is not None and now - earlier[0] <= self.rack.window_s:
             self.record.add(f"{self.name}: {call_id} is a repeat, dropped by its rack")
-            return response(200, await asyncio.shield(earlier[1]), *extra)
+            return response(200, await asyncio.shield(earlier[1]))
         future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         self.rack.done[key] = (now, future)
         self.record.add(f"{self.name}: {call_id} runs")
-        await asyncio.sleep(self.long_work_s if len(message.body) > 65_536 else self.work_s)
+        await asyncio.sleep(self.work_s)
         body = f"{self.name} {call_id} checked {len(message.body)} bytes".encode()
         self.arrivals.answers.setdefault(call_id, set()).add(body)
         future.set_result(body)
-        return response(200, body, *extra)
+        return response(200, body)
 
     def close(self) -> None:
-        asyncio.get_running_loop().remove_reader(self.sock)
-        self.sock.close()
+        if self.server is not None:
+            self.server.close()
 
 
 # Scripts
