--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -418,7 +418,7 @@
         for line in broken:
             record.add(f"BROKEN: {line}")
         code = 1 if broken else 0
-    except (Unrunnable, TimeoutError, OSError) as problem:
+    except Exception as problem:  # a fault of the script says nothing about the program
         record.add(f"the case could not run: {problem!r}")
     record.add(f"end, {['the rule held', 'the rule was broken', 'not run'][code]}")
     record.write()
