--- a/review/1/case.py
+++ b/review/1/case.py
@@ -125,4 +125,4 @@
 
 
 if __name__ == "__main__":
-    run_case(str(HERE), case)
+    run_case(HERE / "record.txt", case)
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,9 @@
 #!/usr/bin/env bash
+# Writes record.txt in this folder: what was sent, answered and run.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
 cd "$(dirname "$0")" || exit 2
-test -x ../../.venv/bin/python || exit 2
+if ! test -x ../../.venv/bin/python; then
+    echo "not run: the deploy file's build has not been run" | tee record.txt
+    exit 2
+fi
 exec ../../.venv/bin/python case.py
--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -35,18 +35,20 @@
 
 
 class Record:
-    """The lines of record.txt: what was sent, answered and run, by the time since the start."""
+    """The case's record.txt: what was sent, answered and run, by the time since the start.
 
-    def __init__(self, folder: Path) -> None:
-        self.path = folder / "record.txt"
+    Each line is written at once, so that the record also tells what a script did that was ended early.
+    """
+
+    def __init__(self, path: Path) -> None:
         self.started_at = time.monotonic()
-        self.lines: list[str] = []
+        self.file = path.open("w", buffering=1, encoding="utf-8")
+        self.last: list[str] = []  # the last lines, to print
 
     def add(self, text: str) -> None:
-        self.lines.append(f"{time.monotonic() - self.started_at:9.4f}  {text}")
-
-    def write(self) -> None:
-        self.path.write_text("\n".join([*self.lines, ""]))
+        line = f"{time.monotonic() - self.started_at:9.4f}  {text}"
+        self.file.write(line + "\n")
+        self.last = [*self.last[-11:], line]
 
 
 def free_port() -> int:
@@ -405,11 +407,15 @@
 # Scripts
 
 
-def run_case(
-    folder: str, case: Callable[[Record, bool], Awaitable[list[str]]], limit_s: float = 100.0
-) -> None:
-    """Run a case; exits with 1 if it returns broken rules, 0 if it returns none, 2 if it could not run."""
-    record = Record(Path(folder))
+Case = Callable[[Record, bool], Awaitable[list[str]]]
+
+
+def run_case(path: Path, case: Case, limit_s: float = 100.0) -> None:
+    """Run a case and write its record to `path`.
+
+    Exits with 1 if the case returns broken rules, 0 if it returns none, 2 if it could not run.
+    """
+    record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"start, {'with' if trouble else 'without'} the disruption")
     code = 2
@@ -418,13 +424,18 @@
         for line in broken:
             record.add(f"BROKEN: {line}")
         code = 1 if broken else 0
-    except Exception as problem:  # a fault of the script says nothing about the program
+    except (Exception, asyncio.CancelledError) as problem:  # says nothing about the program
         record.add(f"the case could not run: {problem!r}")
     record.add(f"end, {['the rule held', 'the rule was broken', 'not run'][code]}")
-    record.write()
-    print("\n".join(record.lines[-12:]))
+    record.file.close()
+    print("\n".join(record.last))
     sys.exit(code)
 
 
 async def _limited(work: Awaitable[list[str]], limit_s: float) -> list[str]:
+    """Run the work for `limit_s` at most; SIGTERM and SIGINT end it too, with all that it started."""
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     return await asyncio.wait_for(work, limit_s)
