Keep the body of a request that offers an upgrade

Cause: the parser ends a message that offers an upgrade behind its head; RequestReader went on from there with a new parser that knew nothing of the body. Shown with the parser alone: message complete right after the head, for a stated length, chunks and HTTP/1.0. Change: the new parser gets the same head without the offer, so framing, limits and keep-alive follow the usual rules. CONNECT ends in the same way and is answered 501 with a close; nothing behind its head is read as a request.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -135,12 +135,10 @@
 
     def _parse(self, data: bytes) -> None:
         try:
-            rest = self.reader.feed(data, self.active_at)
+            self.reader.feed(data, self.active_at)
         except UnreadableRequest as unreadable:
             self._reject_and_close(unreadable.status)
             return
-        if rest:
-            self.unread[:0] = rest
         self._handle_ready()
         self._handle_streamed_body()
 
--- a/garnethaven/net/request_reader.py
+++ b/garnethaven/net/request_reader.py
@@ -54,30 +54,55 @@
         self.incoming = None
         self.ready.clear()
 
-    def feed(self, data: bytes, now: float) -> bytes:
-        """Parse received bytes; returns the part that has to be parsed later. Raises UnreadableRequest."""
+    def feed(self, data: bytes, now: float) -> None:
+        """Parse received bytes. Raises UnreadableRequest."""
         if self.parser is None:
-            return b""
+            return
         self.now = now
         self.deadlines.expect_request(now)
         if self.in_head or self.incoming is None:
             self.head_size += len(data)
-        rest = self._parse(self.parser, data)
-        self._check_limits()
-        return rest
-
-    def _parse(self, parser: HttpRequestParser, data: bytes) -> bytes:
         try:
-            parser.feed_data(data)
-        except HttpParserUpgrade as upgrade:
-            # Decline the upgrade to another protocol by continuing with HTTP/1.1.
-            self.parser = HttpRequestParser(self)
-            return data[upgrade.args[0] :]
+            self._parse(memoryview(data))
         except HttpParserError:
-            if not self.ready:
-                raise UnreadableRequest(400) from None
-            self.ready[-1].keep_alive = False  # answered first, then the connection is closed
-        return b""
+            self._end_requests(400)
+        self._check_limits()
+
+    def _parse(self, unparsed: memoryview) -> None:
+        """Parse all bytes; a request that offers an upgrade interrupts the parser behind its head."""
+        while unparsed and self.parser is not None:
+            try:
+                self.parser.feed_data(unparsed)
+                return
+            except HttpParserUpgrade as upgrade:
+                unparsed = unparsed[upgrade.args[0] :]
+            incoming = self.incoming
+            if incoming is None:  # a CONNECT request: what follows its head is not HTTP
+                self.ready[-1].keep_alive = False
+                return
+            if incoming.status:
+                self._end_requests(incoming.status)
+                return
+            self._decline_upgrade(incoming, self.parser)
+
+    def _decline_upgrade(self, incoming: IncomingRequest, parser: HttpRequestParser) -> None:
+        """Go on with HTTP/1.1: the body belongs to the request that offers the upgrade.
+
+        The parser takes what follows the head for another protocol, whatever body the head states. A new
+        parser gets the same head without the offer.
+        """
+        version = parser.get_http_version()
+        self.parser = HttpRequestParser(self)
+        self.parser.feed_data(incoming.head_without_upgrade(parser.get_method(), version))
+
+    def _end_requests(self, status: int) -> None:
+        """Read nothing more: answer the requests that are complete, then close.
+
+        Raises UnreadableRequest with `status` if there are none.
+        """
+        if not self.ready:
+            raise UnreadableRequest(status) from None
+        self.ready[-1].keep_alive = False
 
     def _check_limits(self) -> None:
         if self.in_head and self.head_size > MAX_HEAD_BYTES:
@@ -107,6 +132,11 @@
             return self.deadlines.body_is_overdue(now, len(incoming.body), paused=False)
         return self.deadlines.body_is_overdue(now, incoming.streamed_body.size, incoming.streamed_body.paused)
 
+    @staticmethod
+    def _is_upgrade_offer(parser: HttpRequestParser) -> bool:
+        """Whether the current request offers an upgrade that is to be declined."""
+        return parser.should_upgrade() and parser.get_method() != b"CONNECT"
+
     # The parser's callbacks
 
     def on_message_begin(self) -> None:
@@ -127,6 +157,9 @@
 
     def on_headers_complete(self) -> None:
         assert self.incoming is not None and self.parser is not None and self.handler is not None
+        if self._is_upgrade_offer(self.parser):
+            self.incoming.check_head_size(self.head_size)
+            return
         self.in_head = False
         self.deadlines.head_received(self.now)
         expects_continue = self.incoming.complete_head(self.parser.get_method(), self.head_size)
@@ -158,8 +191,11 @@
             incoming.streamed_body.add(buffered)
 
     def on_message_complete(self) -> None:
+        assert self.parser is not None and self.handler is not None
+        if self._is_upgrade_offer(self.parser):
+            return  # the request continues behind its head (_decline_upgrade)
         incoming, self.incoming = self.incoming, None
-        assert incoming is not None and self.parser is not None and self.handler is not None
+        assert incoming is not None
         incoming.keep_alive = self.parser.should_keep_alive()
         self.deadlines.request_received()
         self.handler.request_completed(incoming)
--- a/garnethaven/net/requests.py
+++ b/garnethaven/net/requests.py
@@ -38,8 +38,7 @@
         """Check the head, which has `head_size` bytes; returns whether the client waits for 100 Continue."""
         self.method = method
         self.url = origin_form(self.url)
-        if head_size > MAX_HEAD_BYTES and self.head_bytes() > MAX_HEAD_BYTES:
-            self.status = 431
+        self.check_head_size(head_size)
         expects_continue = False
         for name, value in self.headers:
             lower = name.lower()
@@ -53,6 +52,17 @@
             self.status = 413
         return expects_continue and not self.status
 
+    def check_head_size(self, head_size: int) -> None:
+        """Set the status if the head is too large; `head_size` may count bytes that precede or follow it."""
+        if head_size > MAX_HEAD_BYTES and self.head_bytes() > MAX_HEAD_BYTES:
+            self.status = 431
+
+    def head_without_upgrade(self, method: bytes, version: str) -> bytes:
+        """Encode the head as it was received, without the offer of an upgrade."""
+        lines = [b"%s %s HTTP/%s" % (method, self.url, version.encode())]
+        lines += [b"%s: %s" % header for header in self.headers if header[0].lower() != b"upgrade"]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def head_bytes(self) -> int:
         return len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
 
