Go on reading a connection whose long request was refused

Cause: StreamedBody pauses its source past 64 KiB, and only the connection to a server resumed it. A body that passes 64 KiB and ends within one read is paused and complete at once; refused, it is never resumed. Evidence: one read handed to the connection by hand: no answer behind each refusal that keeps the connection and behind /-/ready, by length and by chunks, at 65,537 to 250,000 bytes; an answer behind a 400, whose own pause ends by a timer.

--- a/garnethaven/net/flow.py
+++ b/garnethaven/net/flow.py
@@ -80,8 +80,9 @@
             self._pause()
 
     def end(self) -> None:
-        """Mark the body as complete."""
+        """Mark the body as complete; the source goes on, since what follows is not part of the body."""
         self.complete = True
+        self.resume()
         if self.sink is not None:
             self.sink.finish_body()
 
