Read a long body that waited for its turn within its bound

Cause: _continue_reading resumed reading although the next request's body had paused it; the body went on counting as paused and made no further pause. Change: reading stays paused while the body that is being received has paused it.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -333,7 +333,8 @@
             self._handle_ready()
             return
         data, self.unread = bytes(self.unread), bytearray()
-        self.transport.resume_reading()
+        if not self.reader.body_is_paused():
+            self.transport.resume_reading()
         if data:
             self._parse(data)
         else:
--- a/garnethaven/net/request_reader.py
+++ b/garnethaven/net/request_reader.py
@@ -116,6 +116,11 @@
         """Whether the request that is being received has a body that is streamed."""
         return self.incoming is not None and self.incoming.streamed_body is not None
 
+    def body_is_paused(self) -> bool:
+        """Whether the body that is being received has paused reading, until a server takes it."""
+        body = self.incoming.streamed_body if self.incoming is not None else None
+        return body is not None and body.paused
+
     def should_keep_alive(self) -> bool:
         return self.parser is not None and self.parser.should_keep_alive()
 
--- a/tests/net/test_refused_long_requests.py
+++ b/tests/net/test_refused_long_requests.py
@@ -14,7 +14,8 @@
 from garnethaven.engine.account import CallResult
 from garnethaven.engine.calls import Call
 from garnethaven.net.client import MAX_UNREAD_BYTES, ClientConnection
-from garnethaven.net.flow import MAX_BUFFERED_BYTES, RECEIVE_BUFFER_BYTES
+from garnethaven.net.flow import MAX_BUFFERED_BYTES, RECEIVE_BUFFER_BYTES, REPLAY_BUFFER_BYTES
+from tests.crossings.test_late_dials import DelayedDials
 from tests.loopback import Sidecar, never_answers, request, run, running_sidecar, wait_until
 from tests.test_flow import chunked, read_and_answer, read_answer, start_sidecar, upload
 
@@ -143,3 +144,32 @@
             assert len(connection.unread) <= MAX_UNREAD_BYTES + 4 * RECEIVE_BUFFER_BYTES
 
     run(case())
+
+
+# The failure: a long request that had waited for its turn was read without a bound until a server took it.
+def test_a_long_body_behind_another_request_is_bounded_while_its_connection_is_opened(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def case() -> None:
+        sidecar, (server,) = await start_sidecar(read_and_answer)
+        dials = DelayedDials(monkeypatch)
+        reader, writer = await connect(sidecar)
+        size = 8 * 1024 * 1024
+        first = request(X_Call_Id="first") + upload(size, X_Call_Id="long") + bytes(100_000)
+        only_connection(sidecar).data_received(first)
+        await wait_until(lambda: dials.dial_count == 1)
+        writer.write(bytes(size - 100_000))
+        sidecar.transport.pool.min_rest_s = 60.0  # the long request needs a connection of its own
+        dials.permits.release()
+        assert (await read_answer(reader))[0] == 200
+        await wait_until(lambda: dials.dial_count == 2)
+        await asyncio.sleep(0.1)
+        (call,) = sidecar.engine.calls.values()
+        kept = sum(map(len, call.request.body.replay_buffer))
+        assert kept <= REPLAY_BUFFER_BYTES + 4 * RECEIVE_BUFFER_BYTES
+        dials.permits.release()
+        assert (await read_answer(reader))[0] == 200
+        assert [len(body) for body in server.bodies] == [2, size]
+        writer.close()
+
+    run(case())
