Return the HTTP/2 windows of gRPC calls that end early

Callers see: on a gRPC connection on which many long calls ended early, long requests stop until their time is over; the same between sidecar and server. Cause: the bytes of a long request that no server had taken, and of a streamed answer that its client had not taken, were never returned to their connection's window when the call ended. Change: an ended stream and an ended attempt return what they still hold. Result: both tests of tests/grpcs/test_connection_windows.py (windows of 128 KiB in place of 16 MiB) fail before: the 1 MB request after 12 calls ends with DEADLINE_EXCEEDED, and the server's window is used up before the 12th call. They pass now; tests/grpcs passes.

--- a/garnethaven/grpcs/front.py
+++ b/garnethaven/grpcs/front.py
@@ -161,7 +161,7 @@
 
     def reset(self) -> None:
         """Cancel the call: the client reset the stream or disconnected."""
-        self.closed = True
+        self._end_request()
         call, self.call = self.call, None
         if call is None:
             return
@@ -216,6 +216,11 @@
         self.unsent_request_bytes -= size
         self.connection.acknowledge(self.stream_id, size)
 
+    def _end_request(self) -> None:
+        """Return what the request still holds of its connection's window."""
+        self.closed = True
+        self.request_sent(self.unsent_request_bytes)
+
     def got_headers(self, attempt: GrpcAttempt, headers: Headers) -> None:
         attempt.answer = headers
 
@@ -338,7 +343,7 @@
 
     def _close(self) -> None:
         """Close the stream after its answer; a client that is still sending receives a reset."""
-        self.closed = True
+        self._end_request()
         self.call = None
         self.connection.close_stream(self)
 
--- a/garnethaven/grpcs/transport.py
+++ b/garnethaven/grpcs/transport.py
@@ -81,6 +81,7 @@
         self.buffered: list[bytes] = []  # the answer's data before the front passes it on
         self.buffered_bytes = 0
         self.trailers: Headers | None = None
+        self.unacknowledged_bytes = 0  # flow-control bytes of the answer that are not acknowledged yet
 
     def start(self) -> None:
         target = self.transport.target(self.endpoint)
@@ -134,6 +135,7 @@
     def consumed(self, flow_bytes: int) -> None:
         """The answer's data is no longer buffered: reopen the flow-control window by `flow_bytes`."""
         if self.connection is not None and flow_bytes:
+            self.unacknowledged_bytes -= flow_bytes
             self.connection.acknowledge(self.stream_id, flow_bytes)
 
 
@@ -202,8 +204,15 @@
             self.h2.acknowledge_received_data(flow_bytes, stream_id)
         self.flush()
 
+    def _release_window(self, attempt: GrpcAttempt) -> None:
+        """Return what an ended attempt still holds of the connection's window."""
+        held, attempt.unacknowledged_bytes = attempt.unacknowledged_bytes, 0
+        self.acknowledge(attempt.stream_id, held)
+
     def cancel(self, stream_id: int) -> None:
-        if self.attempts.pop(stream_id, None) is not None:
+        attempt = self.attempts.pop(stream_id, None)
+        if attempt is not None:
+            self._release_window(attempt)
             with contextlib.suppress(H2Error):
                 self.h2.reset_stream(stream_id, ErrorCodes.CANCEL)
             self.flush()
@@ -249,7 +258,9 @@
         if isinstance(event, ResponseReceived):
             attempt.stream.got_headers(attempt, event.headers)
         elif isinstance(event, DataReceived):
-            attempt.stream.got_data(attempt, event.data or b"", event.flow_controlled_length or 0)
+            flow_bytes = event.flow_controlled_length or 0
+            attempt.unacknowledged_bytes += flow_bytes
+            attempt.stream.got_data(attempt, event.data or b"", flow_bytes)
         elif isinstance(event, TrailersReceived):
             attempt.trailers = event.headers
         elif isinstance(event, StreamEnded):
@@ -264,6 +275,7 @@
 
     def _remove(self, attempt: GrpcAttempt) -> None:
         self.attempts.pop(attempt.stream_id, None)
+        self._release_window(attempt)
         attempt.connection = None
         if self.draining and not self.attempts:
             self._close()
