Let an answer that pauses go on, and ask another server beside it

Cause: a pause of STALL_S within a buffered answer counted as a broken connection. An answer that never ends can't be told from one whose server pauses; one that states no length is streamed only once 64 KiB of it have come. Evidence: on sockets, all framings but a stated length over 64 KiB failed with a pause, long and short, keyed and unsafe, also behind an interim answer; a trickle was held to the deadline. Change: a pause is told to the decisions and ends nothing. Another server is asked beside the stalled attempt where two may be open; else it is replaced when another attempt is just likely to end in time, or waited for. An answer without a stated length is passed on after 1.5 s, or half of the client's remaining time.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -19,6 +19,8 @@
     NEVER_RAN,
     Action,
     AttemptEnded,
+    AttemptResumed,
+    AttemptStalled,
     Cancel,
     ClientLeft,
     CloseIdle,
@@ -157,6 +159,8 @@
             Membership: self._on_membership,
             ClientLeft: self._on_client_left,
             StreamBegan: self._on_stream_began,
+            AttemptStalled: self._on_attempt_stalled,
+            AttemptResumed: self._on_attempt_resumed,
             ProbeEnded: self._on_probe_ended,
             Started: self._on_started,
             CordonChange: self._on_cordon_change,
@@ -681,7 +685,7 @@
         cold server gets few such retries, which are charged to the hedge tokens.
         """
         last = pending.attempts[-1] if pending.attempts else None
-        if last is None or last.open or not last.may_have_run:
+        if last is None or (last.open and not last.stalled) or not last.may_have_run:
             return []
         tries = sum(attempt.server is last.server for attempt in pending.attempts)
         if tries > 1 or not self._may_send(pending, last.server):
@@ -818,8 +822,10 @@
             self._close_if_rarely_used(event.endpoint)
         elif event.outcome is Outcome.BAD_REQUEST:
             self._finish(pending)  # any other endpoint would reject it too
-        elif not any(attempt.open for attempt in pending.attempts):
-            self._send_or_finish(pending, self._pick_with_retry_budget(pending))
+        elif not any(attempt.open and not attempt.stalled for attempt in pending.attempts):
+            server = self._pick_with_retry_budget(pending)
+            if server is not None or not any(attempt.open for attempt in pending.attempts):
+                self._send_or_finish(pending, server)  # else a stalled answer may still go on
 
     def _close_if_rarely_used(self, endpoint: int) -> None:
         """Close a connection that would probably time out before it is used again.
@@ -915,6 +921,57 @@
                 duration = self.now - pending.attempts[event.attempt].sent_at
                 self.overload.record_answer(self.now, duration / max(1, pending.request_class.target))
 
+    def _on_attempt_stalled(self, event: AttemptStalled) -> None:
+        """Send another attempt beside one whose answer pauses, or set the time at which to replace it.
+
+        Servers may pause for seconds in an answer, so the attempt goes on. But the answer may also be corrupt
+        and never end: where the rules allow it, another server is asked at once.
+        """
+        pending = self.pending_requests.get(event.id)
+        if pending is None or pending.streaming or event.attempt >= len(pending.attempts):
+            return
+        attempt = pending.attempts[event.attempt]
+        attempt.stalled = True
+        if not attempt.counted_as_slow:
+            attempt.counted_as_slow = True
+            self._record_failure(attempt.server)
+        if pending.body_incomplete:  # the body can be written to one server at a time
+            return
+        if not self.settings.hedging:
+            self._set_timer(pending, max(self.now, self._replace_time(pending)))
+            return
+        server = self._pick_with_retry_budget(pending)
+        if server is not None:
+            self._send(pending, server)
+
+    def _on_attempt_resumed(self, event: AttemptResumed) -> None:
+        pending = self.pending_requests.get(event.id)
+        if pending is not None and event.attempt < len(pending.attempts):
+            pending.attempts[event.attempt].stalled = False
+
+    def _replace_time(self, pending: PendingRequest) -> int:
+        """Return the last time at which another attempt, sent instead of a stalled one, is likely to end."""
+        target = pending.request_class.target
+        latency = self.latency_estimates.get(pending.class_index, 0.0)
+        reserve = min(SLOW_FACTOR * latency, target) if latency else target
+        return int(self._attempt_deadline(pending) - reserve)
+
+    def _replace_stalled(self, pending: PendingRequest) -> None:
+        """Give up a stalled attempt for another one, if the request may not have two at once."""
+        stalled = [
+            number for number, attempt in enumerate(pending.attempts) if attempt.open and attempt.stalled
+        ]
+        if not stalled or self.settings.hedging or self.now < self._replace_time(pending):
+            return
+        attempt = pending.attempts[stalled[0]]
+        attempt.open = False
+        server = self._pick_with_retry_budget(pending)
+        if server is None:
+            attempt.open = True
+            return
+        self.actions.append(Cancel(pending.id, stalled[0]))
+        self._send(pending, server)
+
     def _on_probe_ended(self, event: ProbeEnded) -> None:
         pass
 
@@ -925,6 +982,7 @@
         pending = self.pending_requests.get(self.timers.pop(event.token, ""))
         if pending is None or pending.streaming:  # a stream that has begun may last without being slow
             return
+        self._replace_stalled(pending)
         if self.now < min(pending.target_at, pending.deadline):
             self._send_hedge(pending)
         else:
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -33,6 +33,8 @@
     NEVER_RAN,
     Action,
     AttemptEnded,
+    AttemptResumed,
+    AttemptStalled,
     Cancel,
     ClientLeft,
     CloseIdle,
@@ -429,6 +431,14 @@
         attempt.give_up()
         self.attempt_ended(attempt, Outcome.CANCELLED)
 
+    def attempt_stalled(self, attempt: Attempt) -> None:
+        """Report that an attempt's answer has begun and pauses; the module may end the attempt."""
+        self.post(AttemptStalled(attempt.call.id, attempt.number))
+
+    def attempt_resumed(self, attempt: Attempt) -> None:
+        """Report that the answer of a stalled attempt goes on."""
+        self.post(AttemptResumed(attempt.call.id, attempt.number))
+
     def attempt_ended(
         self,
         attempt: Attempt,
--- a/garnethaven/interface.py
+++ b/garnethaven/interface.py
@@ -177,6 +177,22 @@
     attempt: int
 
 
+@dataclass(slots=True)
+class AttemptStalled:
+    """The answer of an attempt has begun and paused; it may go on, or never end."""
+
+    id: str
+    attempt: int
+
+
+@dataclass(slots=True)
+class AttemptResumed:
+    """The answer of a stalled attempt goes on."""
+
+    id: str
+    attempt: int
+
+
 @dataclass(slots=True)
 class AttemptEnded:
     """An attempt has ended."""
@@ -258,6 +274,8 @@
     | ProcessResumed
     | Request
     | StreamBegan
+    | AttemptStalled
+    | AttemptResumed
     | AttemptEnded
     | ProbeEnded
     | TimerFired
--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import time
 from typing import Protocol, cast
@@ -25,9 +26,9 @@
 # Limit for all bytes of an answer that are not body: 1xx answers, the head, chunk sizes, trailers.
 MAX_FRAMING_BYTES = 32 * 1024
 MAX_FRAMING_RATIO = 8  # framing bytes per byte of body that are allowed beyond it, for chunks of one byte
-# Longest pause within a buffered answer; after it the answer counts as broken. An endpoint that sends wrong
-# framing keeps the connection open and sends nothing more; a machine may vanish in the middle of an answer.
-# Limitation: answers with a longer pause fail. Endpoints may pause for 0.1 s.
+# Pause within a buffered answer after which it counts as stalled. It may go on, since endpoints pause for
+# seconds. Or it may never end: an endpoint that sends wrong framing keeps the connection open and sends no
+# more, and a machine may vanish in the middle of an answer.
 STALL_S = 0.3
 OK = 200
 
@@ -75,7 +76,8 @@
         self.complete = False
         self.has_surplus = False  # bytes followed the end of the answer
         self.reusable = False
-        self.stall_timer: asyncio.TimerHandle | None = None
+        self.progress_timer: asyncio.TimerHandle | None = None
+        self.hold_until = math.inf  # when to stream an answer without a stated length, by the loop's clock
         self.last_received_at = 0.0
         self.opened_at = time.monotonic_ns()
         self.idle_since = 0.0  # by the loop's clock; 0: has not been idle
@@ -151,6 +153,8 @@
         unsolicited = not self.received_bytes and self._is_unsolicited()
         self.received_bytes += len(data)
         self.last_received_at = self.target.pool.loop.time()
+        if self.exchange.stalled:
+            self.exchange.answer_resumed()
         if unsolicited:
             self.report_unsolicited()
             self._fail()
@@ -172,8 +176,8 @@
                 self._fail()
         if self.complete:
             self._finish()
-        if self.exchange is not None and self.stall_timer is None:
-            self.stall_timer = self.target.pool.loop.call_later(STALL_S, self._check_stall)
+        if self.exchange is not None and self.progress_timer is None:
+            self._schedule_progress_check(STALL_S)
 
     def eof_received(self) -> None:
         self._connection_ended(clean=True)
@@ -211,16 +215,18 @@
         return size > limit or (self.answer.length or 0) > limit or self.received_bytes - size > framing
 
     def _should_stream(self) -> bool:
-        """Whether the answer's body is longer, as received or as announced, than may be buffered."""
+        """Whether the answer is too long to be buffered, received or announced, or was held long enough."""
         answer = self.answer
         length = answer.length or 0
         long = answer.size > MAX_BUFFERED_BYTES or MAX_BUFFERED_BYTES < length <= MAX_BODY_BYTES
-        return self.in_body and long and not self.streaming and answer.status == OK
+        due = long or self.target.pool.loop.time() >= self.hold_until
+        return self.in_body and due and not self.streaming and answer.status == OK
 
     def _begin_streaming(self) -> None:
         """Pass the answer on as it is received, if the exchange accepts that."""
         exchange, answer = self.exchange, self.answer
         assert exchange is not None
+        self.hold_until = math.inf
         if not exchange.begin_streaming(answer):
             return
         self.streaming = True
@@ -251,6 +257,13 @@
         self.in_body = True
         length = answer.header(b"content-length")
         answer.length = int(length) if length is not None else None
+        if self.exchange is not None and self._may_be_long():
+            self.hold_until = self.target.pool.loop.time() + self.exchange.max_hold_s()
+
+    def _may_be_long(self) -> bool:
+        """Whether the answer states no length, but its end can be told."""
+        chunked = self.answer.header(b"transfer-encoding") is not None
+        return self.answer.length is None and (chunked or self._ends_with_connection())
 
     def on_body(self, body: bytes) -> None:
         if self.complete:
@@ -286,6 +299,7 @@
         self.received_bytes = 0
         self.in_body = self.complete = self.has_surplus = self.reusable = False
         self.flushed = self.streaming = False
+        self.hold_until = math.inf
         message = exchange.message()
         self.request_bytes_written = sum(map(len, message))
         self.transport.writelines(message)
@@ -338,27 +352,37 @@
             self.exchange.body.detach(self)
         self.exchange = None
         self._release_answer()
-        self._cancel_stall_timer()
+        self._cancel_progress_timer()
         if not self.flushed:
             # The transport may go on writing until it is torn down.
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
         self.transport.abort()
 
-    def _check_stall(self) -> None:
-        """Fail the exchange if nothing was received for the stall time, else check again when that ends."""
+    def _schedule_progress_check(self, max_s: float) -> None:
+        """Check the answer's progress after `max_s` seconds, or when it has been held long enough."""
+        loop = self.target.pool.loop
+        due_s = min(max_s, max(0.0, self.hold_until - loop.time()))
+        self.progress_timer = loop.call_later(due_s, self._check_progress)
+
+    def _check_progress(self) -> None:
+        """Stream an answer that was held long enough; end one that pauses, unless its exchange waits on."""
+        if self._should_stream():
+            self._begin_streaming()
         loop = self.target.pool.loop
         max_s = flow.STREAM_STALL_S if self.streaming else STALL_S
         left_s = max_s if self.paused or self._unread() else self.last_received_at + max_s - loop.time()
         if left_s > 0.0:  # also if this process lags behind the kernel, not the endpoint
-            self.stall_timer = loop.call_later(left_s, self._check_stall)
-        else:
+            self._schedule_progress_check(left_s)
+        elif not self.streaming and self.exchange is not None and self.exchange.answer_stalled():
+            self._schedule_progress_check(STALL_S)
+        elif self.exchange is not None:  # a decision about the stalled answer may have ended it
             self._fail()
 
-    def _cancel_stall_timer(self) -> None:
-        if self.stall_timer is not None:
-            self.stall_timer.cancel()
-            self.stall_timer = None
+    def _cancel_progress_timer(self) -> None:
+        if self.progress_timer is not None:
+            self.progress_timer.cancel()
+            self.progress_timer = None
 
     def _body_limit(self) -> int:
         if self.exchange is None:
@@ -372,7 +396,7 @@
         exchange.over = True
         if exchange.body is not None:
             exchange.body.detach(self)
-        self._cancel_stall_timer()
+        self._cancel_progress_timer()
         self.resume()
         answer = self.answer
         self._release_answer()
--- a/garnethaven/net/exchange.py
+++ b/garnethaven/net/exchange.py
@@ -12,6 +12,7 @@
 # Maximum body of an answer that can't be streamed, because another attempt's answer is streamed or the status
 # is not 200. A longer answer fails the exchange.
 BODY_LIMIT = 512 * 1024
+MAX_HOLD_S = 1.5  # clients of long answers wait at most 2 s for the bytes that the endpoint has sent
 
 
 class Answer:
@@ -61,6 +62,7 @@
         self.skipped = False  # was not attempted, for a reason that is not the endpoint's failure
         self.hindered = False  # waits because system calls on this machine fail at present
         self.body: StreamedBody | None = None  # follows the payload, streamed from the client
+        self.stalled = False  # its answer has begun and pauses
         self.was_moved = False  # was moved to another connection once, before it had been written
 
     def message(self) -> tuple[bytes | bytearray, ...]:
@@ -77,6 +79,17 @@
     def body_received(self, data: bytes) -> None:
         """The next part of the body of a streamed answer."""
 
+    def answer_stalled(self) -> bool:
+        """The answer has begun and pauses; returns whether to wait on. Called again while it pauses."""
+        return False
+
+    def answer_resumed(self) -> None:
+        """The answer goes on, after `answer_stalled` has returned True."""
+
+    def max_hold_s(self) -> float:
+        """Seconds after which an answer that states no length is streamed, however short it is so far."""
+        return MAX_HOLD_S
+
     def broken(self, written: bool) -> None:
         """The exchange failed; `written` is whether the kernel had taken the whole request."""
 
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -26,7 +26,7 @@
     State,
 )
 from garnethaven.limits.budgets import AnswerMemory
-from garnethaven.net.exchange import Answer, Exchange
+from garnethaven.net.exchange import MAX_HOLD_S, Answer, Exchange
 from garnethaven.net.flow import StreamedBody
 from garnethaven.net.upstream import Pool, Target
 
@@ -139,6 +139,22 @@
         else:
             engine.attempt_ended(self, outcome, report)
 
+    def answer_stalled(self) -> bool:
+        if self.call.answered:
+            return False
+        if not self.stalled:
+            self.stalled = True
+            self.transport.engine.attempt_stalled(self)
+        return not self.over
+
+    def answer_resumed(self) -> None:
+        self.stalled = False
+        self.transport.engine.attempt_resumed(self)
+
+    def max_hold_s(self) -> float:
+        """At most half of the time that is left to the client."""
+        return min(MAX_HOLD_S, max(0, self.ends_at - time.monotonic_ns()) / S / 2)
+
     def broken(self, written: bool) -> None:
         if_written = Outcome.STALE if self.stale else Outcome.RESET
         if_unwritten = Outcome.SKIPPED if self.skipped else Outcome.CONNECT_FAILED
--- a/garnethaven/records.py
+++ b/garnethaven/records.py
@@ -63,7 +63,7 @@
 class Attempt:
     """One attempt of a request at a server."""
 
-    __slots__ = ("counted_as_slow", "may_have_run", "open", "sent_at", "server")
+    __slots__ = ("counted_as_slow", "may_have_run", "open", "sent_at", "server", "stalled")
 
     def __init__(self, server: Server, now: int) -> None:
         self.server = server
@@ -71,6 +71,7 @@
         self.open = True  # no outcome yet
         self.counted_as_slow = False  # already counted as an error of the server
         self.may_have_run = True  # until an outcome proves otherwise
+        self.stalled = False  # its answer has begun and pauses
 
 
 class PendingRequest:
