Count no error of the server that replaces a stalled attempt

Cause: the timer that replaces a stalled attempt (where two may not be open at once) went on to count the open attempts as overdue, the new one among them. Change: the timer ends there. Found by reading the change once more; the test now holds the second server's errors at 0.

--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -956,21 +956,22 @@
         reserve = min(SLOW_FACTOR * latency, target) if latency else target
         return int(self._attempt_deadline(pending) - reserve)
 
-    def _replace_stalled(self, pending: PendingRequest) -> None:
+    def _replace_stalled(self, pending: PendingRequest) -> bool:
         """Give up a stalled attempt for another one, if the request may not have two at once."""
         stalled = [
             number for number, attempt in enumerate(pending.attempts) if attempt.open and attempt.stalled
         ]
         if not stalled or self.settings.hedging or self.now < self._replace_time(pending):
-            return
+            return False
         attempt = pending.attempts[stalled[0]]
         attempt.open = False
         server = self._pick_with_retry_budget(pending)
         if server is None:
             attempt.open = True
-            return
+            return False
         self.actions.append(Cancel(pending.id, stalled[0]))
         self._send(pending, server)
+        return True
 
     def _on_probe_ended(self, event: ProbeEnded) -> None:
         pass
@@ -982,7 +983,8 @@
         pending = self.pending_requests.get(self.timers.pop(event.token, ""))
         if pending is None or pending.streaming:  # a stream that has begun may last without being slow
             return
-        self._replace_stalled(pending)
+        if self._replace_stalled(pending):
+            return
         if self.now < min(pending.target_at, pending.deadline):
             self._send_hedge(pending)
         else:
--- a/tests/test_stalled_attempts.py
+++ b/tests/test_stalled_attempts.py
@@ -128,6 +128,7 @@
     assert actions.index(cancel) < actions.index(second)
     assert second.endpoint != first.endpoint
     assert 20 * MS <= second.timeout <= 200 * MS  # late, and in time
+    assert driver.balancer.servers[second.endpoint].errors == 0.0
 
 
 @pytest.mark.parametrize("class_index", [FRAGILE, DEDUP_IN_CELL])
