--- a/garnethaven/brain.py
+++ b/garnethaven/brain.py
@@ -15,6 +15,7 @@
 from dataclasses import replace
 from zlib import crc32
 
+from garnethaven.attempt_rules import attempt_deadline, is_attempt_allowed, is_refusal_allowed
 from garnethaven.interface import (
     NEVER_RAN,
     Action,
@@ -25,7 +26,6 @@
     ClientLeft,
     CloseIdle,
     CordonChange,
-    DedupScope,
     Endpoint,
     Event,
     Fail,
@@ -95,8 +95,6 @@
 # connection that follows.
 NEUTRAL_OUTCOMES = frozenset({Outcome.CANCELLED, Outcome.SKIPPED, Outcome.BAD_REQUEST, Outcome.STALE})
 RETRY_AFTER_DIVISOR = 3  # a refused client is told to retry after this part of the time left to its target
-# Share of the dedup window in which a retry has to reach the server and end; the rest allows for transit.
-DEDUP_WINDOW_SHARE = 0.9
 GOLDEN_RATIO = 0.6180339887498949  # its multiples modulo 1 are spread evenly, for any set of instances
 # Longest pause after a failed call to discovery. With the calls before and after it
 # (limits/list_freshness.py) it has to end before a list change counts as known, 6 s after discovery becomes
@@ -954,7 +952,7 @@
         target = pending.request_class.target
         latency = self.latency_estimates.get(pending.class_index, 0.0)
         reserve = min(SLOW_FACTOR * latency, target) if latency else target
-        return int(self._attempt_deadline(pending) - reserve)
+        return int(attempt_deadline(pending) - reserve)
 
     def _replace_stalled(self, pending: PendingRequest) -> bool:
         """Give up a stalled attempt for another one, if the request may not have two at once."""
@@ -1055,54 +1053,8 @@
 
     def _may_send(self, pending: PendingRequest, server: Server) -> bool:
         """Whether the rules allow another attempt of this request at this server."""
-        if (
-            self.now >= pending.deadline
-            or len(pending.attempts) >= self.settings.max_attempts
-            or pending.streaming
-        ):
-            return False
-        if not self._selectable(server):  # a drain takes effect as soon as it is known
-            return False
-        if not self.settings.hedging and any(attempt.open for attempt in pending.attempts):
-            return False
-        idempotency = pending.request_class.effect
-        if idempotency is Idempotency.RETRYABLE:
-            return True
-        ran = [attempt for attempt in pending.attempts if attempt.may_have_run]
-        if not ran:
-            return True
-        if idempotency is Idempotency.FRAGILE:  # it could take effect twice
-            return False
-        return self._same_dedup_group(
-            pending.request_class.scope, ran[0].server, server
-        ) and self.now < self._attempt_deadline(pending)
-
-    def _attempt_deadline(self, pending: PendingRequest) -> int:
-        """Return when the next attempt has to end: by the request's deadline, so that no answer is late.
-
-        A deduplicated request that may have run also has to end within its dedup window: an attempt that
-        arrives late, or only after a network partition ends, would run at a group that has forgotten the
-        earlier attempt.
-        """
-        ran = next((attempt for attempt in pending.attempts if attempt.may_have_run), None)
-        if ran is None or pending.request_class.effect is not Idempotency.DEDUP:
-            return pending.deadline
-        return min(
-            pending.deadline, ran.sent_at + int(pending.request_class.dedup_window * DEDUP_WINDOW_SHARE)
-        )
-
-    @staticmethod
-    def _same_dedup_group(scope: DedupScope, one: Server, other: Server) -> bool:
-        if scope is DedupScope.ALL:
-            return True
-        return one.cell == other.cell if scope is DedupScope.CELL else one.zone == other.zone
-
-    def _may_refuse(self, pending: PendingRequest) -> bool:
-        """Whether a refusal is allowed: it promises the client that a retry is harmless."""
-        request_class = pending.request_class
-        if request_class.effect is Idempotency.RETRYABLE or not any(a.may_have_run for a in pending.attempts):
-            return True
-        return request_class.effect is Idempotency.DEDUP and request_class.scope is DedupScope.ALL
+        # A drain takes effect as soon as it is known.
+        return self._selectable(server) and is_attempt_allowed(self.settings, pending, server, self.now)
 
     def _send_or_finish(self, pending: PendingRequest, server: Server | None) -> None:
         if server is None or not self._may_send(pending, server):
@@ -1111,7 +1063,7 @@
             self._send(pending, server)
 
     def _send(self, pending: PendingRequest, server: Server) -> None:
-        timeout = self._attempt_deadline(pending) - self.now
+        timeout = attempt_deadline(pending) - self.now
         pending.attempts.append(Attempt(server, self.now))
         self.actions.append(Send(pending.id, server.id, timeout))
 
@@ -1124,7 +1076,7 @@
 
     def _finish(self, pending: PendingRequest) -> None:
         """End a request without a good answer: refuse it where that is allowed, else fail it."""
-        refuse = self._may_refuse(pending)
+        refuse = is_refusal_allowed(pending)
         refusal = Refuse(pending.id, self._retry_after(pending), pending.over_share)
         self.actions.append(refusal if refuse else Fail(pending.id))
         # A request that arrived too late does not count as unserved: otherwise requests taken for unmarked
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -32,7 +32,7 @@
     """,
     ENGINE: "config engine",
     DECISIONS: """
-        __init__ addresses brain interface records settings tables weighted_round_robin
+        __init__ addresses attempt_rules brain interface records settings tables weighted_round_robin
         budgets.lending budgets.token_balance budgets.table
         connections.ahead connections.caps connections.demand connections.idle_limits connections.pacing
         connections.planner connections.table
