Hold only good answers for streaming: an error that pauses took a whole core

Cause: an answer that states no length got a time at which to stream it, whatever its status; an error is never streamed, so its connection was checked again without a rest from then on, until the client's time was over. Change: the time is set for answers with status 200 only.

--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -257,7 +257,7 @@
         self.in_body = True
         length = answer.header(b"content-length")
         answer.length = int(length) if length is not None else None
-        if self.exchange is not None and self._may_be_long():
+        if self.exchange is not None and answer.status == OK and self._may_be_long():
             self.hold_until = self.target.pool.loop.time() + self.exchange.max_hold_s()
 
     def _may_be_long(self) -> bool:
--- a/tests/net/test_paused_answers.py
+++ b/tests/net/test_paused_answers.py
@@ -293,3 +293,26 @@
         assert engine.oldest_age_s() < S
 
     run(case())
+
+
+# The failure: the connection of an error in chunks that pauses was checked without a rest.
+def test_an_error_that_pauses_costs_no_processing_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    checks = 0
+    check_progress = server_connection.Connection._check_progress
+
+    def counted(connection: server_connection.Connection) -> None:
+        nonlocal checks
+        checks += 1
+        check_progress(connection)
+
+    monkeypatch.setattr(server_connection.Connection, "_check_progress", counted)
+
+    async def case() -> None:
+        error = CHUNKED.replace(b"200 OK", b"500 Error") + b"5\r\nhello\r\n"
+        serve = begins_and_stops(error, [])
+        sidecar, _ = await start_sidecar(serve)
+        set_idempotency(sidecar, Idempotency.FRAGILE)
+        assert (await ask(sidecar, request(X_Budget_Ms="500")))[0] == 504
+        assert checks <= 0.5 / STALL_S + 2
+
+    run(case())
