--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -59,6 +59,7 @@
     def __init__(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.at = time.monotonic()
+        self.writer: asyncio.StreamWriter | None = None  # for endpoints that write their answer themselves
         self.id = headers.get("x-call-id", "")
         self.budget_s = int(headers.get("x-budget-ms", "0")) / 1000
 
@@ -134,6 +135,7 @@
                     writer.write(answer(200))
                     continue
                 request = Request(method, target, headers, body)
+                request.writer = writer
                 self.requests.append(request)
                 self.record.note(
                     f"run      {request.id} arrives at {self.name}, X-Budget-Ms {request.budget_s * 1000:.0f}"
