--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -32,12 +32,17 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 Headers = dict[str, str]
+IDS = random.Random(time.time_ns())  # ids of requests are new with every run
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """A free port below the usual range of outgoing connections, which could take it before it is bound."""
+    for _ in range(500):
+        port = IDS.randrange(12_000, 31_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            return port
+    raise RuntimeError("no port is free")
 
 
 class Record:
@@ -345,9 +350,6 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-IDS = random.Random(time.time_ns())
-
-
 def new_id() -> str:
     return f"{IDS.getrandbits(64):016x}"
 
