Leave a reset to the event loop's read: half of an answer was served as a whole one

Cause: has_unread read with MSG_PEEK, which takes a pending error away if no byte is unread. A reset that came before the check of an answer's pause and after the loop's last read was lost, and the next read found an orderly end, which ends an answer without a length. Change: has_unread polls the socket, which takes nothing away. The other queries that clear an error say so, and their callers close the connection. The planned pool's test fixture is shared.

--- a/garnethaven/net/presence.py
+++ b/garnethaven/net/presence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -13,18 +14,23 @@
 
 
 def has_unread(sock: socket.socket) -> bool:
-    """Whether a read would return at once: with bytes, the end of the stream or an error."""
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        pass
-    return True
+    """Whether a read would return at once: with bytes, the end of the stream or an error.
+
+    Leaves a pending error to the next read. A read with MSG_PEEK would clear it, and the read after that
+    would find an orderly end of the stream.
+    """
+    if sock.fileno() < 0:
+        return True
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
-    """Whether bytes can be read, not only the end of the stream or an error."""
+    """Whether bytes can be read, not only the end of the stream or an error.
+
+    May clear a pending error, so the caller must close the connection.
+    """
     try:
         return bool(sock.recv(1, socket.MSG_PEEK))
     except OSError:
@@ -42,7 +48,10 @@
 
 
 def has_ended_writing(sock: socket.socket) -> bool:
-    """Whether the peer has sent its FIN, even when that has not been read; raises OSError after a reset."""
+    """Whether the peer has sent its FIN, even when that has not been read.
+
+    Raises OSError after a reset, which it clears: the caller must then close the connection.
+    """
     try:
         return not sock.recv(1, socket.MSG_PEEK) or has_received_fin(sock)
     except BlockingIOError:
--- a/tests/connections/test_pool_paused_answers.py
+++ b/tests/connections/test_pool_paused_answers.py
@@ -2,18 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable
-from typing import Any
-
 import pytest
 
-from garnethaven.connections.planner import Rules, ServerState
 from garnethaven.connections.pool import PlannedPool
-from garnethaven.limits.budgets import AnswerMemory
 from garnethaven.net import connection as server_connection
-from garnethaven.net.transport import HttpTransport
-from tests import loopback
+from tests.connections.planned import use_planned_pool
 from tests.loopback import request, run, wait_until
 from tests.net.test_paused_answers import (
     NEVER_ENDING,
@@ -32,16 +25,7 @@
 
 @pytest.fixture(autouse=True)
 def planned_pool(monkeypatch: pytest.MonkeyPatch) -> None:
-    def make_pool(
-        loop: asyncio.AbstractEventLoop, limit: Callable[[], int], idle_s: float, memory: AnswerMemory
-    ) -> PlannedPool:
-        rules = Rules(opens_per_s=1000.0, dial_timeout_s=1.0, ahead=False)
-        return PlannedPool(loop, limit, idle_s, memory, rules, lambda endpoint: ServerState(), 1)
-
-    def make_transport(*arguments: Any) -> HttpTransport:
-        return HttpTransport(*arguments, make_pool=make_pool)
-
-    monkeypatch.setattr(loopback, "HttpTransport", make_transport)
+    use_planned_pool(monkeypatch)
     monkeypatch.setattr(server_connection, "STALL_S", STALL_S)
 
 
