Bound what follows a request's head and is no body: an endless trailer took all memory

Cause: the reader counted bytes against the head's limit only while it awaited a head. Behind the head chunk extensions and trailers were read without a limit, collected by the parser, and added to the request's headers. Change: requests have the limit of answers, in net/flow.py for both: 32 KiB and eight bytes a byte of body; 431 beyond it. Fields behind the body are dropped: a second X-Call-Id there made a good request invalid (400).

--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -23,9 +23,6 @@
 from garnethaven.net.presence import has_unread, has_unread_bytes, unacknowledged_bytes
 from garnethaven.net.reuse import ReusePolicy
 
-# Limit for all bytes of an answer that are not body: 1xx answers, the head, chunk sizes, trailers.
-MAX_FRAMING_BYTES = 32 * 1024
-MAX_FRAMING_RATIO = 8  # framing bytes per byte of body that are allowed beyond it, for chunks of one byte
 # Pause within a buffered answer after which it counts as stalled. It may go on, since endpoints pause for
 # seconds. Or it may never end: an endpoint that sends wrong framing keeps the connection open and sends no
 # more, and a machine may vanish in the middle of an answer.
@@ -211,8 +208,9 @@
         size, limit = self.answer.size, self._body_limit()
         if self.target.pool.memory.must_abort(self.buffered_bytes):
             return True
-        framing = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * size  # a chunk may hold a single byte
-        return size > limit or (self.answer.length or 0) > limit or self.received_bytes - size > framing
+        if size > limit or (self.answer.length or 0) > limit:
+            return True
+        return flow.has_too_much_framing(self.received_bytes, size)
 
     def _should_stream(self) -> bool:
         """Whether the answer is too long to be buffered, received or announced, or was held long enough."""
--- a/garnethaven/net/flow.py
+++ b/garnethaven/net/flow.py
@@ -20,6 +20,10 @@
 # other side's write buffer. Reserved in the budget for bodies (limits/budgets.py) while it is streamed.
 STREAM_MEMORY_BYTES = REPLAY_BUFFER_BYTES + 4 * RECEIVE_BUFFER_BYTES
 MAX_BODY_BYTES = 40 * 1024 * 1024  # of a request's or an answer's body; the largest expected has 32 MB
+# Limit for the bytes of a message that are not body: an answer's head and 1xx answers, and of both directions
+# the chunk sizes, chunk extensions and trailers.
+MAX_FRAMING_BYTES = 32 * 1024
+MAX_FRAMING_RATIO = 8  # framing bytes per byte of body that are allowed beyond it, for chunks of one byte
 # Longest time without progress on a streamed answer, on either side; after it the peer counts as gone. Peers
 # may pause for seconds.
 STREAM_STALL_S = 8.0
@@ -30,6 +34,11 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def has_too_much_framing(received_bytes: int, body_bytes: int) -> bool:
+    """Whether a message of which `received_bytes` were received has too few bytes of body among them."""
+    return received_bytes - body_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body_bytes
+
+
 class BodySource(Protocol):
     """The connection that a body is read from."""
 
--- a/garnethaven/net/request_reader.py
+++ b/garnethaven/net/request_reader.py
@@ -7,7 +7,13 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from garnethaven.net.flow import MAX_BODY_BYTES, MAX_BUFFERED_BYTES, BodySource, StreamedBody
+from garnethaven.net.flow import (
+    MAX_BODY_BYTES,
+    MAX_BUFFERED_BYTES,
+    BodySource,
+    StreamedBody,
+    has_too_much_framing,
+)
 from garnethaven.net.request_deadlines import RequestDeadlines
 from garnethaven.net.requests import MAX_HEAD_BYTES, MAX_HEADERS, IncomingRequest
 
@@ -47,6 +53,7 @@
         self.now = now  # when the bytes that are being parsed were received
         self.in_head = False
         self.head_size = 0
+        self.body_received_bytes = 0  # behind the head: the body with its chunk sizes and trailers
 
     def close(self) -> None:
         self.handler = None
@@ -60,12 +67,15 @@
             return
         self.now = now
         self.deadlines.expect_request(now)
-        if self.in_head or self.incoming is None:
+        incoming, was_in_body = self.incoming, self.incoming is not None and not self.in_head
+        if not was_in_body:
             self.head_size += len(data)
         try:
             self._parse(memoryview(data))
         except HttpParserError:
             self._end_requests(400)
+        if was_in_body and self.incoming is incoming:
+            self.body_received_bytes += len(data)
         self._check_limits()
 
     def _parse(self, unparsed: memoryview) -> None:
@@ -107,8 +117,11 @@
     def _check_limits(self) -> None:
         if self.in_head and self.head_size > MAX_HEAD_BYTES:
             raise UnreadableRequest(431)
-        if self.incoming is not None and self.incoming.status and not self.ready:
-            raise UnreadableRequest(self.incoming.status)  # its rest need not be read
+        incoming = self.incoming
+        if incoming is not None and incoming.status and not self.ready:
+            raise UnreadableRequest(incoming.status)  # its rest need not be read
+        if incoming is not None and has_too_much_framing(self.body_received_bytes, incoming.body_size()):
+            self._end_requests(431)
         if len(self.ready) > MAX_PIPELINED_REQUESTS:
             raise UnreadableRequest(400)
 
@@ -133,9 +146,7 @@
         incoming = self.incoming
         if incoming is None or self.in_head:
             return self.deadlines.head_is_overdue(now)
-        if incoming.streamed_body is None:
-            return self.deadlines.body_is_overdue(now, len(incoming.body), paused=False)
-        return self.deadlines.body_is_overdue(now, incoming.streamed_body.size, incoming.streamed_body.paused)
+        return self.deadlines.body_is_overdue(now, incoming.body_size(), self.body_is_paused())
 
     @staticmethod
     def _is_upgrade_offer(parser: HttpRequestParser) -> bool:
@@ -147,6 +158,7 @@
     def on_message_begin(self) -> None:
         self.incoming = IncomingRequest()
         self.in_head = True
+        self.body_received_bytes = 0
         self.deadlines.expect_request(self.now)
 
     def on_url(self, url: bytes) -> None:
@@ -155,6 +167,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self.incoming is not None
+        if not self.in_head:
+            return  # a trailer: not forwarded, and no header of the request
         if len(self.incoming.headers) < MAX_HEADERS:
             self.incoming.headers.append((name, value.rstrip()))  # the parser leaves trailing white space
         else:
--- a/garnethaven/net/requests.py
+++ b/garnethaven/net/requests.py
@@ -34,6 +34,10 @@
         self.keep_alive = False
         self.status = 0  # of the error answer to the request; 0: no error so far
 
+    def body_size(self) -> int:
+        """The bytes of the body that were received."""
+        return self.streamed_body.size if self.streamed_body is not None else len(self.body)
+
     def complete_head(self, method: bytes, head_size: int) -> bool:
         """Check the head, which has `head_size` bytes; returns whether the client waits for 100 Continue."""
         self.method = method
