Count in one account what all connections buffer: slow crowds took all memory

Cause: only buffered answers were counted. Half-received requests, refused bodies until their connection ended, objects, unread answers and reads deferred after a lag were not, and one read took all that the kernel had. The limit was a quarter of memory_mb, whatever the program itself takes. Change: limits/budgets.py has one account for both directions in real bytes, beside what the program takes; each connection reserves what it holds. While it is full, longer requests get 503, bodies are not kept for a retry, and answers are passed on as they come. Reads are bounded (net/read_buffer.py). A client's unread answers pause its server and its own further requests. Bodies are kept as bytes, not as lists of pieces. The bytes that are safe from being given up are 4 KiB in place of 64 KiB: 300 times 64 KiB are more than a small process has.

--- a/garnethaven/connections/feature.py
+++ b/garnethaven/connections/feature.py
@@ -13,7 +13,7 @@
 from garnethaven.engine.engine import S
 from garnethaven.feature import Feature
 from garnethaven.interface import Settings
-from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.limits.budgets import BufferMemory
 from garnethaven.parts import Parts
 
 
@@ -57,7 +57,7 @@
             parts.make_pool = self._make
 
     def _make(
-        self, loop: asyncio.AbstractEventLoop, limit: Callable[[], int], idle_s: float, memory: AnswerMemory
+        self, loop: asyncio.AbstractEventLoop, limit: Callable[[], int], idle_s: float, memory: BufferMemory
     ) -> PlannedPool:
         rules = rules_of(self.table, self.parts.engine.settings)
         self.pool = PlannedPool(loop, limit, idle_s, memory, rules, self._server, self.parts.config.seed)
--- a/garnethaven/connections/pool.py
+++ b/garnethaven/connections/pool.py
@@ -21,7 +21,7 @@
 from garnethaven.addresses import Address
 from garnethaven.connections.idle_limits import IdleLimits
 from garnethaven.connections.planner import ConnectionCounts, ConnectionPlan, Decision, Rules, ServerState
-from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.limits.budgets import BufferMemory
 from garnethaven.net.connection import Connection
 from garnethaven.net.exchange import Exchange
 from garnethaven.net.upstream import Pool, Target
@@ -404,7 +404,7 @@
         loop: asyncio.AbstractEventLoop,
         limit: Callable[[], int],
         idle_s: float,
-        memory: AnswerMemory,
+        memory: BufferMemory,
         rules: Rules,
         server: Callable[[int], ServerState],
         seed: int,
--- a/garnethaven/limits/budgets.py
+++ b/garnethaven/limits/budgets.py
@@ -10,12 +10,21 @@
 until it closes them: the limit of the other side shrinks by their number, but never below its guaranteed
 share.
 
-Memory. An answer of ordinary size is buffered completely, so that the request can be retried if the answer
-turns out to be invalid; a longer one is streamed (net/flow.py). Answers that can't be streamed, such as those
-with a status other than 200, are buffered too. Many of them at once can exceed the memory of a small process,
-so once the buffers are over their share of it, larger answers are aborted like invalid ones. A streamed body
-or answer reserves its maximum from the same budget; when the budget is used up, a request with a long body is
-refused at once, which is safe to retry.
+Memory. One account holds what all HTTP/1.1 connections buffer, towards clients and towards endpoints, in
+bytes of real memory: incomplete requests, requests in progress, answers until they are complete, and what a
+peer has not read yet. Its limit is what the memory leaves beside the program, its endpoint list and the
+connections' own objects. While the account is full:
+
+| what a connection buffers | what happens |
+| --- | --- |
+| up to `PROTECTED_BYTES` | it goes on, so that ordinary short requests are served |
+| a longer request, incomplete or not yet sent on | it is refused with 503, which is safe to retry |
+| a long body that is being sent on | it is not kept for a retry, and read as fast as the endpoint takes it |
+| a longer answer that can be streamed | it is streamed, and read as fast as the client takes it |
+| another longer answer | it is aborted like an invalid one |
+
+Reads are small meanwhile (net/read_buffer.py), so the account is exceeded by the protected bytes of each
+connection at most.
 
 Server lists. A list is buffered completely before it is parsed. Its length is limited to `LIST_MEMORY_SHARE`
 of the memory, or to `MIN_LIST_BYTES` if that is more. A list and the objects made from it take about 20 bytes
@@ -31,9 +40,12 @@
 GUARANTEED_SHARE = 0.35  # of the available descriptors, for each side
 MAX_ENDPOINTS_SHARE = 0.5  # of the available descriptors
 MIN_CONNECTIONS_PER_SIDE = 8  # connections guaranteed to each side, however few descriptors there are
-ANSWER_MEMORY_SHARE = 0.25  # of the memory, for buffered answers
-MAX_PROTECTED_ANSWER_BYTES = 64 * 1024  # a smaller answer is never aborted for lack of memory
 MB = 1024 * 1024
+MAX_BUFFER_SHARE = 0.25  # of the memory, for what connections buffer
+RESERVED_MEMORY_BYTES = 31 * MB  # for the program, its endpoint list and the connections' own objects
+ALLOCATOR_SHARE = 0.7  # of the rest that is used for buffers; the allocator's fragments take some more
+MIN_BUFFER_BYTES = MB // 2
+PROTECTED_BYTES = 4 * 1024  # what each connection may buffer, however full the account is
 LIST_MEMORY_SHARE = 1 / 32  # of the memory, for the JSON text of a server list
 MIN_LIST_BYTES = 2 * MB
 
@@ -70,17 +82,26 @@
     return max(MIN_LIST_BYTES, int(memory_mb * MB * LIST_MEMORY_SHARE))
 
 
-class AnswerMemory:
-    """Memory of all buffered answers, in bytes; `memory_mb` is the process's memory limit."""
+class BufferMemory:
+    """Account of the bytes that all connections buffer; `memory_mb` is the process's memory limit."""
 
     def __init__(self, memory_mb: int) -> None:
-        self.memory_mb = memory_mb
+        available = int((memory_mb * MB - RESERVED_MEMORY_BYTES) * ALLOCATOR_SHARE)
+        self.total_bytes = max(MIN_BUFFER_BYTES, min(int(memory_mb * MB * MAX_BUFFER_SHARE), available))
         self.used_bytes = 0
         self.share(1)
 
+    @classmethod
+    def of_size(cls, total_bytes: int) -> BufferMemory:
+        """An account with a limit of its own."""
+        memory = cls(0)
+        memory.total_bytes = total_bytes
+        memory.share(1)
+        return memory
+
     def share(self, processes: int) -> None:
-        """Divide the budget among the processes of one sidecar."""
-        self.max_bytes = int(self.memory_mb * MB * ANSWER_MEMORY_SHARE) // processes
+        """Divide the limit among the processes of one sidecar."""
+        self.max_bytes = self.total_bytes // processes
 
     def reserve(self, size: int) -> None:
         self.used_bytes += size
@@ -89,9 +110,27 @@
         self.used_bytes -= size
 
     def is_full(self) -> bool:
-        """Whether the budget is used up, so that long request bodies are refused."""
         return self.used_bytes > self.max_bytes
 
-    def must_abort(self, size: int) -> bool:
-        """Whether an answer that has grown to `size` bytes must be aborted."""
-        return self.used_bytes > self.max_bytes and size > MAX_PROTECTED_ANSWER_BYTES
+    def is_too_much(self, size: int) -> bool:
+        """Whether a connection that buffers `size` bytes must give some of them up."""
+        return size > PROTECTED_BYTES and self.used_bytes > self.max_bytes
+
+
+class Reservation:
+    """What one connection has reserved from the account, in bytes."""
+
+    __slots__ = ("memory", "size")
+
+    def __init__(self, memory: BufferMemory) -> None:
+        self.memory = memory
+        self.size = 0
+
+    def resize(self, size: int) -> None:
+        """Reserve `size` bytes in place of those reserved before."""
+        self.memory.used_bytes += size - self.size
+        self.size = size
+
+    def is_too_much(self) -> bool:
+        """Whether the connection must give some of its buffered bytes up."""
+        return self.memory.is_too_much(self.size)
--- a/garnethaven/limits/view.py
+++ b/garnethaven/limits/view.py
@@ -49,7 +49,7 @@
     if figures.endpoints_held >= figures.endpoints_most:
         reasons["endpoints"] = f"{figures.endpoints_held} connections to endpoints, the limit"
     if figures.answers_bytes > figures.answers_most:
-        reasons["memory"] = f"buffered answers use {figures.answers_bytes} of {figures.answers_most} bytes"
+        reasons["memory"] = f"connections buffer {figures.answers_bytes} of {figures.answers_most} bytes"
     if figures.list_behind:
         reasons["lists"] = f"answers of discovery are behind revision {figures.list_revision}"
     elif figures.list_age_s > figures.list_wait_s + STALE_MARGIN_S:
--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -19,7 +19,7 @@
 from garnethaven.engine.engine import Engine, S
 from garnethaven.engine.spending import Spend
 from garnethaven.interface import ListKind, Outcome, State
-from garnethaven.limits.budgets import AnswerMemory, max_list_bytes
+from garnethaven.limits.budgets import BufferMemory, max_list_bytes
 from garnethaven.limits.list_freshness import (
     FULL_LOAD_FLEET_SIZE,
     MAX_WATCH_WAIT_S,
@@ -117,7 +117,10 @@
             index_by_name(config.names.zones), index_by_name(config.names.kinds), self.clock_offset
         )
         self.pool = Pool(
-            loop, limit=lambda: MAX_CONNECTIONS, idle_s=0.0, memory=AnswerMemory(config.memory_mb)
+            loop,
+            limit=lambda: MAX_CONNECTIONS,
+            idle_s=0.0,
+            memory=BufferMemory.of_size(MAX_CONNECTIONS * max_list_bytes(config.memory_mb)),
         )
         self.start_times = StartTimes()
         self.last_answer_at: int | None = None  # monotonic nanoseconds of the last valid answer
@@ -309,7 +312,7 @@
         try:
             if answer.status != 200:
                 raise ListError(f"status {answer.status}")
-            listed = self.reader.read_list(b"".join(answer.body))
+            listed = self.reader.read_list(bytes(answer.body))
         except ListError as problem:
             self._log(str(problem))
             self._failed(call, Failure.REJECTED)
--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -11,8 +11,8 @@
 
 from garnethaven.engine.account import CallResult
 from garnethaven.engine.calls import Call
+from garnethaven.limits.budgets import Reservation
 from garnethaven.limits.connection_limit import FIRST_REQUEST_GRACE_S, ConnectionHistory
-from garnethaven.net.body_memory import BodyReservation
 from garnethaven.net.call_making import make_call
 from garnethaven.net.client_presence import ClientPresence
 from garnethaven.net.exchange import Answer, Header
@@ -21,6 +21,7 @@
 from garnethaven.net.local_paths import local_status
 from garnethaven.net.owner import Owner
 from garnethaven.net.presence import has_unread, reset_at_close
+from garnethaven.net.read_buffer import BoundedReads
 from garnethaven.net.request_reader import RequestReader, UnreadableRequest
 from garnethaven.net.requests import IncomingRequest, RequestHead, parse_head
 from garnethaven.net.response_writer import BodyFraming, ResponseWriter, choose_framing
@@ -34,7 +35,7 @@
 PENALTY_S = 0.2
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(BoundedReads):
     """One client's connection: the engine's client of its calls, and the source of their streamed bodies.
 
     `over_limit` is set on a connection that is accepted only to answer its requests with 503.
@@ -53,7 +54,10 @@
         self.call: Call | None = None
         self.streamed_request: IncomingRequest | None = None  # in progress; its body is still being received
         self.streamed_answer: HttpAttempt | None = None  # the attempt whose answer is being streamed
-        self.body_memory = BodyReservation(owner.transport.pool.memory)
+        self.memory = owner.transport.pool.memory
+        self.reservation = Reservation(self.memory)
+        self.call_bytes = 0  # memory of the buffered request in progress
+        self.write_paused = False  # the client has not read all that was written
         self.keep_alive = True
         self.closing = False
         self.penalised = False
@@ -62,10 +66,12 @@
         self.reader = RequestReader(self, self.active_at)
         self.unsent = 0  # bytes in the write buffer at the last check
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's class, which does not inherit from it
+        # With a limit of 0, `pause_writing` is called as soon as the kernel does not take all bytes.
+        self.transport.set_write_buffer_limits(high=0)
         self.writer = ResponseWriter(self.transport)
         self.presence = ClientPresence(self.sock, self.transport, self.writer, self.owner.loop)
         self.lingering_close = LingeringClose(self.transport, self.owner)
@@ -76,7 +82,9 @@
         if self.deferred or self.owner.should_defer_reading(self.active_at):
             if not self.deferred:
                 self.owner.loop.call_later(DEFERRED_READ_S, self._read_deferred)
+                self.transport.pause_reading()
             self.deferred += data
+            self._update_reservation()
             return
         self._read(data)
 
@@ -84,6 +92,7 @@
         """Read the bytes that were deferred after the process was suspended."""
         data, self.deferred = bytes(self.deferred), bytearray()
         if data and not self.transport.is_closing():
+            self.transport.resume_reading()
             self._read(data)
 
     def _read(self, data: bytes) -> None:
@@ -94,10 +103,39 @@
             self._parse(data)
         elif self._has_request() or self.penalised:
             self.unread += data
-            if len(self.unread) > MAX_UNREAD_BYTES:
+            if len(self.unread) > MAX_UNREAD_BYTES or self.memory.is_too_much(len(self.unread)):
                 self.transport.pause_reading()
         else:
             self._parse(data)
+        self._update_reservation()
+        if self.reservation.is_too_much():
+            self._give_up_memory()
+
+    # The account of buffered bytes
+
+    def _update_reservation(self) -> None:
+        self.reservation.resize(self._held_bytes())
+
+    def _held_bytes(self) -> int:
+        """The memory that requests and unread answers of this connection take."""
+        unsent = self.transport.get_write_buffer_size()
+        return self.reader.held_bytes() + self.call_bytes + len(self.unread) + len(self.deferred) + unsent
+
+    def _give_up_memory(self) -> None:
+        """The account is full: refuse the request that is being received, or buffer less of its body."""
+        if self.closing or self.incoming is None:
+            return
+        if self.streamed_request is None and not self._has_request():
+            self._refuse_incomplete()
+        elif self.incoming.streamed_body is not None:
+            self.incoming.streamed_body.hold()
+            self._update_reservation()
+
+    def _refuse_incomplete(self) -> None:
+        """Answer an incomplete request with 503 and close the connection; it has had no effect yet."""
+        self.keep_alive = False
+        self._account_incomplete(CallResult.REFUSED)
+        self._answer_status(503)
 
     def eof_received(self) -> bool:
         """The client has closed its writing side; it may still read."""
@@ -124,8 +162,8 @@
         self.closing = True
         self.lingering_close.cancel()
         self.streamed_request = self.streamed_answer = self.unconfirmed = None
-        self.body_memory.release()
         self.reader.close()
+        self.reservation.resize(0)
         call, self.call = self.call, None
         if call is not None:
             self.engine.client_left(call)
@@ -163,13 +201,11 @@
         incoming = self.reader.incoming
         if incoming is None or not self.reader.has_streamed_body():
             return
-        if self.call is not None or self.reader.ready or self.closing or self.penalised:
+        if self.reader.ready or not self._is_free():
             return
         self.keep_alive = self.reader.should_keep_alive()
         self.streamed_request = incoming
         self._handle(incoming)
-        if self.call is not None:
-            self.body_memory.take()
 
     def pause_reading(self) -> None:
         if not self.transport.is_closing():
@@ -200,7 +236,7 @@
 
     def _is_free(self) -> bool:
         """Whether the next request may be handled."""
-        if self._has_begun_request() or self.closing or self.penalised:
+        if self._has_begun_request() or self.closing or self.penalised or self.write_paused:
             return False
         return not self.transport.is_closing()
 
@@ -223,7 +259,8 @@
         self._begin_call(incoming, head)
 
     def _begin_call(self, incoming: IncomingRequest, head: RequestHead) -> None:
-        if self.over_limit or (self.streamed_request is not None and not self.body_memory.is_available()):
+        held_bytes = incoming.held_bytes()
+        if self.over_limit or self.memory.is_too_much(held_bytes):
             self.engine.account.record_immediate(head.class_index, CallResult.REFUSED)
             self._answer_status(503)
             return
@@ -232,16 +269,17 @@
             self.call = None
             self.engine.account.record_immediate(head.class_index, CallResult.FAILED)
             self._answer_with_penalty(409)
+        elif self.streamed_request is None:
+            self.call_bytes = held_bytes
 
     # Answers: callbacks of the engine (engine/calls.py) and of the transport (net/transport.py)
 
     def send_answer(self, answer: Answer) -> None:
-        self._write_answer(200, b"".join(answer.body), answer.headers)
+        self._write_answer(200, answer.body, answer.headers)
 
     def begin_answer(self, attempt: HttpAttempt, answer: Answer) -> None:
         """Write the head of a streamed answer, which has status 200."""
         self.streamed_answer = attempt
-        self.body_memory.take()
         framing = choose_framing(answer.length, self.reader.accepts_chunked())
         if framing is BodyFraming.UNTIL_CLOSE:
             self.keep_alive = False
@@ -250,6 +288,8 @@
     def send_body(self, data: bytes) -> None:
         if not self.transport.is_closing():
             self.writer.write_body(data)
+            if self.write_paused:
+                self._update_reservation()
 
     def end_answer(self) -> None:
         if not self.transport.is_closing():
@@ -264,12 +304,20 @@
         self.transport.abort()
 
     def pause_writing(self) -> None:
+        self.write_paused = True
         if self.streamed_answer is not None:
             self.streamed_answer.pause()
 
     def resume_writing(self) -> None:
+        self.write_paused = False
+        self._update_reservation()
         if self.streamed_answer is not None:
             self.streamed_answer.resume()
+        elif self._has_more_to_handle():
+            self.owner.loop.call_soon(self._continue_reading)
+
+    def _has_more_to_handle(self) -> bool:
+        return bool(self.unread or self.reader.ready or self.reader.has_streamed_body())
 
     def refused(self, retry_after: int, over_share: bool) -> None:
         headers = [(b"Retry-After", b"%.3f" % (retry_after / 1e9))] if retry_after else []
@@ -296,7 +344,7 @@
         if not self.transport.is_closing():
             self._continue_reading()
 
-    def _write_answer(self, status: int, body: bytes, headers: list[Header]) -> None:
+    def _write_answer(self, status: int, body: bytes | bytearray, headers: list[Header]) -> None:
         if self.transport.is_closing():
             self.call = None
             return
@@ -317,12 +365,13 @@
 
     def _answer_written(self) -> None:
         self.call = self.streamed_answer = None
-        self.body_memory.release()
+        self.call_bytes = 0
+        self._update_reservation()
         self.writer.answer_ended()
         self.active_at = self.usage.idle_since = self.owner.loop.time()
         if not self.keep_alive:
             self._close_lingering(STREAM_LINGER_S if self.streamed_request is not None else LINGER_S)
-        elif (self.unread or self.reader.ready or self.reader.has_streamed_body()) and not self.penalised:
+        elif self._has_more_to_handle() and not self.penalised:
             # In a later iteration: a client that pipelines requests must not delay the others.
             self.owner.loop.call_soon(self._continue_reading)
 
@@ -334,7 +383,7 @@
             return
         data, self.unread = bytes(self.unread), bytearray()
         if not self.reader.body_is_paused():
-            self.transport.resume_reading()
+            self.resume_reading()
         if data:
             self._parse(data)
         else:
@@ -346,28 +395,37 @@
         if self.streamed_request is not None:
             self._abandon_call()
         else:
-            self._account_incomplete()
+            self._account_incomplete(CallResult.FAILED)
         self._answer_status(status)
 
-    def _account_incomplete(self) -> None:
-        """Count a request that is answered before it was complete as failed, if its class is known."""
+    def _account_incomplete(self, result: CallResult) -> None:
+        """Count a request that is answered before it was complete, if its class is known."""
         if self.incoming is None:
             return
         request_class = self.owner.classes.class_indexes.get(self.incoming.class_name())
         if request_class is not None:
-            self.engine.account.record_immediate(request_class, CallResult.FAILED)
+            self.engine.account.record_immediate(request_class, result)
 
     def _close_lingering(self, max_s: float) -> None:
         """Close once the client has closed its side, or after `max_s` seconds (lingering_close.py)."""
         self.closing = True
         if self.transport.is_closing():
             return
+        self._discard_received()
         if self.half_closed:
             self.transport.close()  # the client has already closed its side
             return
         self.owner.linger_started(self)
         self.lingering_close.begin(max_s)
 
+    def _discard_received(self) -> None:
+        """Free what was received and will not be handled any more."""
+        self.reader.close()
+        self.unread, self.deferred = bytearray(), bytearray()
+        if self.streamed_request is not None and self.streamed_request.streamed_body is not None:
+            self.streamed_request.streamed_body.drop_replay()
+        self._update_reservation()
+
     # Called by the listener (owner.py)
 
     @property
@@ -415,6 +473,8 @@
     def check_timeouts(self, now: float) -> None:
         """End the connection if a request arrives too slowly, an answer is not read, or it is idle."""
         unsent = self.transport.get_write_buffer_size()
+        if self.reservation.size:
+            self._update_reservation()
         if unsent:
             self._check_write_progress(unsent, now)
         elif self._is_overdue(now):
--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -16,11 +16,12 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from garnethaven.addresses import Address
-from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.limits.budgets import BufferMemory, Reservation
 from garnethaven.net import flow
 from garnethaven.net.exchange import BODY_LIMIT, Answer, Exchange
 from garnethaven.net.flow import LAST_CHUNK, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, chunk
 from garnethaven.net.presence import has_unread, has_unread_bytes, unacknowledged_bytes
+from garnethaven.net.read_buffer import BoundedReads
 from garnethaven.net.reuse import ReusePolicy
 
 # Pause within a buffered answer after which it counts as stalled. It may go on, since endpoints pause for
@@ -36,7 +37,7 @@
     @property
     def loop(self) -> asyncio.AbstractEventLoop: ...
     @property
-    def memory(self) -> AnswerMemory: ...
+    def memory(self) -> BufferMemory: ...
     @property
     def reuse(self) -> ReusePolicy: ...
 
@@ -53,7 +54,7 @@
         """Remove a connection that has ended."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(BoundedReads):
     """One connection; carries one exchange at a time and returns to its target's idle list in between."""
 
     def __init__(self, target: ConnectionOwner, address: Address, sock: socket.socket) -> None:
@@ -63,7 +64,9 @@
         self.exchange: Exchange | None = None
         self.streaming = False  # whether the answer is passed on as it is received
         self.paused = False
-        self.buffered_bytes = 0  # of the answer's body, not yet passed on
+        self.memory = target.pool.memory
+        self.reservation = Reservation(self.memory)
+        self.body_parts: list[bytes] = []  # of the answer, parsed from the bytes that were received last
         self.answer = Answer()
         self.parser: HttpResponseParser | None = HttpResponseParser(self)
         self.flushed = True  # the last byte of the request has left the write buffer
@@ -82,7 +85,7 @@
         self.request_at = 0.0  # when the current request was written
         self.answered_at = 0.0  # when the last complete answer ended
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's class, which does not inherit from it
@@ -164,6 +167,7 @@
                 self._fail()
                 return
             self.has_surplus = True
+        self._pass_body_on()
         if not self.complete:
             if self._should_stream():
                 self._begin_streaming()
@@ -206,7 +210,7 @@
     def _is_too_large(self) -> bool:
         """Whether the head, the 1xx answers, the trailers or the body exceed their limits."""
         size, limit = self.answer.size, self._body_limit()
-        if self.target.pool.memory.must_abort(self.buffered_bytes):
+        if self.reservation.is_too_much():
             return True
         if size > limit or (self.answer.length or 0) > limit:
             return True
@@ -217,7 +221,7 @@
         answer = self.answer
         length = answer.length or 0
         long = answer.size > MAX_BUFFERED_BYTES or MAX_BUFFERED_BYTES < length <= MAX_BODY_BYTES
-        due = long or self.target.pool.loop.time() >= self.hold_until
+        due = long or self.target.pool.loop.time() >= self.hold_until or self.reservation.is_too_much()
         return self.in_body and due and not self.streaming and answer.status == OK
 
     def _begin_streaming(self) -> None:
@@ -228,11 +232,22 @@
         if not exchange.begin_streaming(answer):
             return
         self.streaming = True
-        self.target.pool.memory.release(self.buffered_bytes)
-        self.buffered_bytes = 0
-        parts, answer.body = answer.body, []
-        for part in parts:
-            exchange.body_received(part)
+        self.reservation.resize(0)
+        buffered, answer.body = answer.body, bytearray()
+        if buffered:
+            exchange.body_received(bytes(buffered))
+
+    def _pass_body_on(self) -> None:
+        """Stream or buffer the parsed parts of the body together: a chunk may hold a single byte."""
+        parts, self.body_parts = self.body_parts, []
+        if not parts or self.exchange is None:
+            return
+        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        if self.streaming:
+            self.exchange.body_received(body)
+        else:
+            self.answer.body += body
+            self.reservation.resize(len(self.answer.body))
 
     # HttpResponseParser
 
@@ -266,15 +281,8 @@
     def on_body(self, body: bytes) -> None:
         if self.complete:
             return
-        answer = self.answer
-        answer.size += len(body)
-        if self.streaming:
-            if self.exchange is not None:
-                self.exchange.body_received(body)
-            return
-        answer.body.append(body)
-        self.buffered_bytes += len(body)
-        self.target.pool.memory.reserve(len(body))
+        self.answer.size += len(body)
+        self.body_parts.append(body)
 
     def on_message_complete(self) -> None:
         if self.complete or self.parser is None:
@@ -414,9 +422,9 @@
 
     def _release_answer(self) -> None:
         """Drop the buffered answer and release its memory."""
-        self.target.pool.memory.release(self.buffered_bytes)
-        self.buffered_bytes = 0
+        self.reservation.resize(0)
         self.answer = Answer()
+        self.body_parts.clear()
 
     def _fail(self) -> None:
         exchange, written = self.exchange, self.flushed
--- a/garnethaven/net/exchange.py
+++ b/garnethaven/net/exchange.py
@@ -23,7 +23,7 @@
     def __init__(self) -> None:
         self.status = 0
         self.headers: list[Header] = []
-        self.body: list[bytes] = []
+        self.body = bytearray()  # what was received and not streamed
         self.size = 0  # bytes of the body received
         self.length: int | None = None  # of the body in bytes, if the head states it
 
@@ -70,7 +70,7 @@
         return self.payload
 
     def answered(self, answer: Answer) -> None:
-        """The answer is complete; `answer.body` has the parts that were not streamed."""
+        """The answer is complete; `answer.body` has what was not streamed."""
 
     def begin_streaming(self, answer: Answer) -> bool:
         """Whether to stream an answer that is too long to be buffered, by `body_received`, from now on."""
--- a/garnethaven/net/flow.py
+++ b/garnethaven/net/flow.py
@@ -11,14 +11,11 @@
 
 # Bytes of a body that are buffered for a retry, or until there is a connection. Large enough for a retry
 # after a failed dial or after an endpoint rejected the request. Each client connection may hold that much,
-# and the bytes of one read (RECEIVE_BUFFER_BYTES) beyond it.
+# and the bytes of one read (net/read_buffer.py) beyond it.
 REPLAY_BUFFER_BYTES = 64 * 1024
 MAX_BUFFERED_BYTES = 64 * 1024  # up to this size a body or an answer is buffered; a longer one is streamed
 LAST_CHUNK = b"0\r\n\r\n"
-RECEIVE_BUFFER_BYTES = 64 * 1024  # SO_RCVBUF, which the kernel doubles: an upper bound for one read
-# The maximum memory that one streamed body or answer takes: the replay buffer, one read, and as much in the
-# other side's write buffer. Reserved in the budget for bodies (limits/budgets.py) while it is streamed.
-STREAM_MEMORY_BYTES = REPLAY_BUFFER_BYTES + 4 * RECEIVE_BUFFER_BYTES
+RECEIVE_BUFFER_BYTES = 64 * 1024  # SO_RCVBUF, which the kernel doubles
 MAX_BODY_BYTES = 40 * 1024 * 1024  # of a request's or an answer's body; the largest expected has 32 MB
 # Limit for the bytes of a message that are not body: an answer's head and 1xx answers, and of both directions
 # the chunk sizes, chunk extensions and trailers.
@@ -65,7 +62,8 @@
     def __init__(self, source: BodySource, length: int | None) -> None:
         self.source = source
         self.length = length
-        self.replay_buffer: list[bytes] = []
+        self.replay_buffer = bytearray()
+        self.unsent_bytes = 0  # of the last part, while the sink has not written it
         self.size = 0  # bytes received
         self.complete = False
         self.replay_lost = False  # the replay buffer was dropped: the body can't be sent again
@@ -78,14 +76,31 @@
         """Pass on the next part, or buffer it while there is no sink; pauses the source if that is full."""
         self.size += len(data)
         if not self.replay_lost:
-            self.replay_buffer.append(data)
+            self.replay_buffer += data
         if self.sink is None:
             if self.size > REPLAY_BUFFER_BYTES and not self.replay_lost:
                 self._pause()
             return
         if self.size > REPLAY_BUFFER_BYTES:
-            self.replay_lost, self.replay_buffer = True, []
+            self.drop_replay()
         if not self.sink.write_part(data):
+            self.unsent_bytes = len(data)
+            self._pause()
+
+    def held_bytes(self) -> int:
+        """The bytes that are buffered, also in the write buffer of the sink."""
+        return len(self.replay_buffer) + self.unsent_bytes
+
+    def drop_replay(self) -> None:
+        """Keep nothing of what the sink has been given: the body can't be sent again."""
+        self.replay_lost = True
+        self.replay_buffer = bytearray()
+
+    def hold(self) -> None:
+        """Buffer as little as possible: drop what a sink has been given, or pause until there is one."""
+        if self.sink is not None:
+            self.drop_replay()
+        elif not self.replay_lost:
             self._pause()
 
     def end(self) -> None:
@@ -101,10 +116,11 @@
         """Write the buffered parts to this sink, and from now on all further parts."""
         self.sink = sink
         room = True
-        for data in self.replay_buffer:
-            room = sink.write_part(data)
+        if self.replay_buffer:
+            room = sink.write_part(bytes(self.replay_buffer))
+            self.unsent_bytes = 0 if room else len(self.replay_buffer)
         if self.size > REPLAY_BUFFER_BYTES:
-            self.replay_lost, self.replay_buffer = True, []
+            self.drop_replay()
         if self.complete:
             sink.finish_body()
         elif room:
@@ -114,10 +130,12 @@
         """Detach a sink whose connection has ended or carries another request."""
         if self.sink is sink:
             self.sink = None
+            self.unsent_bytes = 0
             self.resume()  # further parts are buffered for the next sink, or dropped
 
     def resume(self) -> None:
         """Resume the source; called when the sink's write buffer has room again."""
+        self.unsent_bytes = 0
         if self.paused:
             self.paused = False
             self.source.resume_reading()
--- a/garnethaven/net/request_reader.py
+++ b/garnethaven/net/request_reader.py
@@ -53,6 +53,7 @@
         self.now = now  # when the bytes that are being parsed were received
         self.in_head = False
         self.head_size = 0
+        self.body_parts: list[bytes] = []  # of a streamed body, parsed from the bytes that were fed last
         self.body_received_bytes = 0  # behind the head: the body with its chunk sizes and trailers
 
     def close(self) -> None:
@@ -60,6 +61,14 @@
         self.parser = None
         self.incoming = None
         self.ready.clear()
+        self.body_parts.clear()
+
+    def held_bytes(self) -> int:
+        """The memory that requests take which are received and not handled yet."""
+        held = sum(request.held_bytes() for request in self.ready) if self.ready else 0
+        if self.incoming is not None:
+            held += self.incoming.held_bytes() + self.head_size
+        return held
 
     def feed(self, data: bytes, now: float) -> None:
         """Parse received bytes. Raises UnreadableRequest."""
@@ -74,6 +83,7 @@
             self._parse(memoryview(data))
         except HttpParserError:
             self._end_requests(400)
+        self._pass_body_on()
         if was_in_body and self.incoming is incoming:
             self.body_received_bytes += len(data)
         self._check_limits()
@@ -196,8 +206,16 @@
             self._begin_streaming(incoming)
         if incoming.streamed_body is None:
             incoming.body += body
+        else:
+            self.body_parts.append(body)
+
+    def _pass_body_on(self) -> None:
+        """Pass the parsed parts of a streamed body on together: a chunk may hold a single byte."""
+        parts, self.body_parts = self.body_parts, []
+        incoming = self.incoming
+        if not parts or incoming is None or incoming.streamed_body is None:
             return
-        incoming.streamed_body.add(body)
+        incoming.streamed_body.add(parts[0] if len(parts) == 1 else b"".join(parts))
         if incoming.streamed_body.size > MAX_BODY_BYTES:
             incoming.status = 413
 
@@ -213,6 +231,7 @@
         assert self.parser is not None and self.handler is not None
         if self._is_upgrade_offer(self.parser):
             return  # the request continues behind its head (_decline_upgrade)
+        self._pass_body_on()
         incoming, self.incoming = self.incoming, None
         assert incoming is not None
         incoming.keep_alive = self.parser.should_keep_alive()
--- a/garnethaven/net/requests.py
+++ b/garnethaven/net/requests.py
@@ -10,6 +10,8 @@
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_HEADERS = 128
+SHORT_HEAD_BYTES = 1024
+HEADER_OBJECT_BYTES = 176  # memory of one header beyond its bytes: a tuple and two objects
 # Headers that are not forwarded: hop-by-hop headers, and those that the sidecar sets itself.
 DROPPED_HEADERS = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade expect content-length"
@@ -22,7 +24,17 @@
 class IncomingRequest:
     """A request while it is received."""
 
-    __slots__ = ("body", "headers", "keep_alive", "length", "method", "status", "streamed_body", "url")
+    __slots__ = (
+        "body",
+        "head_size",
+        "headers",
+        "keep_alive",
+        "length",
+        "method",
+        "status",
+        "streamed_body",
+        "url",
+    )
 
     def __init__(self) -> None:
         self.url = b""
@@ -32,15 +44,23 @@
         self.body = bytearray()
         self.streamed_body: StreamedBody | None = None  # a body that is too long to be buffered
         self.keep_alive = False
+        self.head_size = 0  # bytes of the head, once it is complete
         self.status = 0  # of the error answer to the request; 0: no error so far
 
     def body_size(self) -> int:
         """The bytes of the body that were received."""
         return self.streamed_body.size if self.streamed_body is not None else len(self.body)
 
+    def held_bytes(self) -> int:
+        """The memory that the request takes, as far as it was received."""
+        body = self.streamed_body.held_bytes() if self.streamed_body is not None else len(self.body)
+        return self.head_size + HEADER_OBJECT_BYTES * len(self.headers) + body
+
     def complete_head(self, method: bytes, head_size: int) -> bool:
         """Check the head, which has `head_size` bytes; returns whether the client waits for 100 Continue."""
         self.method = method
+        # The count may include bytes that precede or follow the head.
+        self.head_size = head_size if head_size <= SHORT_HEAD_BYTES else self.head_bytes()
         self.url = origin_form(self.url)
         self.check_head_size(head_size)
         expects_continue = False
--- a/garnethaven/net/response_writer.py
+++ b/garnethaven/net/response_writer.py
@@ -45,7 +45,9 @@
         self.version_sent = True
         self.transport.write(VERSION)
 
-    def write_answer(self, status: int, headers: list[Header], body: bytes, keep_alive: bool) -> None:
+    def write_answer(
+        self, status: int, headers: list[Header], body: bytes | bytearray, keep_alive: bool
+    ) -> None:
         """Write a complete answer."""
         field = framing_header(BodyFraming.CONTENT_LENGTH, len(body))
         self.transport.write(self._head(status, headers, field, keep_alive) + body)
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -25,13 +25,13 @@
     Settings,
     State,
 )
-from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.limits.budgets import BufferMemory
 from garnethaven.net.exchange import MAX_HOLD_S, Answer, Exchange
 from garnethaven.net.flow import StreamedBody
 from garnethaven.net.upstream import Pool, Target
 
 PROBE_TIMEOUT = S
-MakePool = Callable[[asyncio.AbstractEventLoop, Callable[[], int], float, AnswerMemory], Pool]
+MakePool = Callable[[asyncio.AbstractEventLoop, Callable[[], int], float, BufferMemory], Pool]
 # Fields of a load report: the name in the settings, and the name that an endpoint may use instead.
 ALTERNATIVE_REPORT_NAMES = {"active": "inflight", "waiting": "queue", "cpu": "util"}
 ALTERNATIVE_REPORT_NAMES |= {"avg_ms": "latency_ms", "rps": "qps", "err_rps": "eps"}
@@ -210,7 +210,7 @@
         self.engine = engine
         self.settings = settings
         self.pool = make_pool(
-            loop, connections, settings.connection_idle_timeout / S, AnswerMemory(memory_mb)
+            loop, connections, settings.connection_idle_timeout / S, BufferMemory(memory_mb)
         )
         self.targets: dict[int, Target] = {}
         self.cordoned: set[int] = set()  # by an operator: get nothing new, whatever the list says
@@ -269,7 +269,7 @@
     def probe_ended(self, probe: ProbeCall, outcome: Outcome, answer: Answer | None = None) -> None:
         report: tuple[float, ...] = ()
         if answer is not None and self.settings.report_fields:
-            report = self.report(answer) or self._read_report(b"".join(answer.body))
+            report = self.report(answer) or self._read_report(bytes(answer.body))
         duration = time.monotonic_ns() - probe.sent_at
         self.engine.post(ProbeEnded(probe.endpoint, outcome, duration, report))
 
--- a/garnethaven/net/upstream.py
+++ b/garnethaven/net/upstream.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from garnethaven.addresses import Address
-from garnethaven.limits.budgets import AnswerMemory
+from garnethaven.limits.budgets import BufferMemory
 from garnethaven.net.connection import Connection
 from garnethaven.net.exchange import Exchange
 from garnethaven.net.flow import RECEIVE_BUFFER_BYTES
@@ -218,7 +218,7 @@
         loop: asyncio.AbstractEventLoop,
         limit: Callable[[], int],
         idle_s: float,
-        memory: AnswerMemory,
+        memory: BufferMemory,
     ) -> None:
         self.loop = loop
         self.limit = limit  # returns the current maximum number of connections
