Let connections that are costly to parse take turns: one-byte chunks starved others

Cause: each chunk was passed on by itself, and nothing bounded how much of such bytes was parsed before others had their turn. Change: a connection with over 64 parts of a body in one read rests until its turn, one connection every 5 ms (net/costly_reads.py).

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -15,6 +15,7 @@
 from garnethaven.limits.connection_limit import FIRST_REQUEST_GRACE_S, ConnectionHistory
 from garnethaven.net.call_making import make_call
 from garnethaven.net.client_presence import ClientPresence
+from garnethaven.net.costly_reads import MAX_PARTS_PER_READ
 from garnethaven.net.exchange import Answer, Header
 from garnethaven.net.flow import MAX_BODY_BYTES, STREAM_STALL_S
 from garnethaven.net.lingering_close import LINGER_S, MAX_LINGER_BYTES, STREAM_LINGER_S, LingeringClose
@@ -57,6 +58,7 @@
         self.memory = owner.transport.pool.memory
         self.reservation = Reservation(self.memory)
         self.call_bytes = 0  # memory of the buffered request in progress
+        self.resting = False  # not read until its turn (costly_reads.py)
         self.write_paused = False  # the client has not read all that was written
         self.keep_alive = True
         self.closing = False
@@ -177,9 +179,23 @@
         except UnreadableRequest as unreadable:
             self._reject_and_close(unreadable.status)
             return
+        if self.reader.part_count > MAX_PARTS_PER_READ:
+            self._rest()
         self._handle_ready()
         self._handle_streamed_body()
 
+    def _rest(self) -> None:
+        """Read nothing more until it is this connection's turn."""
+        if not self.resting and not self.transport.is_closing():
+            self.resting = True
+            self.transport.pause_reading()
+            self.owner.costly_reads.rest(self._end_rest)
+
+    def _end_rest(self) -> None:
+        self.resting = False
+        if not self.closing and not self.penalised and not self.reader.body_is_paused():
+            self.resume_reading()
+
     def continue_expected(self) -> None:
         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -212,7 +228,7 @@
             self.transport.pause_reading()
 
     def resume_reading(self) -> None:
-        if not self.transport.is_closing():
+        if not self.transport.is_closing() and not self.resting:
             self.transport.resume_reading()
 
     def _abandon_call(self) -> None:
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -21,6 +21,7 @@
     ConnectionHistory,
 )
 from garnethaven.net.client import DEFERRED_READ_S, ClientConnection
+from garnethaven.net.costly_reads import CostlyReads
 from garnethaven.net.flow import RECEIVE_BUFFER_BYTES
 from garnethaven.net.own_failures import OUT_OF_RESOURCES
 from garnethaven.net.owner import OwnedConnection
@@ -125,6 +126,7 @@
         self.lingering: dict[OwnedConnection, None] = {}  # the lingering ones of these, the oldest first
         self.accept_tasks: set[asyncio.Task[object]] = set()
         self.accepted_sockets: set[socket.socket] = set()  # not connected to the event loop yet
+        self.costly_reads = CostlyReads(loop)
         self.draining = False
         self.read_until = self.last_answer_at = math.inf  # deadlines of a shutdown
         self.accepting = False
--- a/garnethaven/net/owner.py
+++ b/garnethaven/net/owner.py
@@ -9,6 +9,7 @@
 from garnethaven.engine.classes import Classes
 from garnethaven.engine.engine import Engine
 from garnethaven.limits.connection_limit import ConnectionHistory
+from garnethaven.net.costly_reads import CostlyReads
 from garnethaven.net.transport import HttpTransport
 
 
@@ -53,6 +54,7 @@
     loop: asyncio.AbstractEventLoop
     calm_idle_s: float
     draining: bool
+    costly_reads: CostlyReads
     linger_deadline: float  # by the loop's clock; a shutdown closes lingering connections then
 
     def should_defer_reading(self, now: float) -> bool:
--- a/garnethaven/net/request_reader.py
+++ b/garnethaven/net/request_reader.py
@@ -54,6 +54,7 @@
         self.in_head = False
         self.head_size = 0
         self.body_parts: list[bytes] = []  # of a streamed body, parsed from the bytes that were fed last
+        self.part_count = 0  # parts of a body among the bytes that were fed last
         self.body_received_bytes = 0  # behind the head: the body with its chunk sizes and trailers
 
     def close(self) -> None:
@@ -75,6 +76,7 @@
         if self.parser is None:
             return
         self.now = now
+        self.part_count = 0
         self.deadlines.expect_request(now)
         incoming, was_in_body = self.incoming, self.incoming is not None and not self.in_head
         if not was_in_body:
@@ -199,6 +201,7 @@
     def on_body(self, body: bytes) -> None:
         incoming = self.incoming
         assert incoming is not None
+        self.part_count += 1
         self.deadlines.body_received(self.now)
         if incoming.status:
             return
