Keep connections whose request waits for discovery: they were closed as idle

What callers saw: a connection that ended with no answer to a request that had been read, where a shutdown or a shortage of connections came within 0.02 s after a suspension of the process. Cause: bytes that wait for discovery's updates were no sign of use: not for is_idle, is_evictable, evict, stop_reading. Change: such a connection is neither idle nor evictable, and a shutdown reads the bytes first.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -460,7 +460,7 @@
 
     def is_awaiting_request(self) -> bool:
         """Whether no byte of the next request has been received yet."""
-        busy = self._has_request() or self.incoming is not None or self.unread
+        busy = self._has_request() or self.incoming is not None or self.unread or self.deferred
         return not busy and not self.closing
 
     def _has_request(self) -> bool:
@@ -474,7 +474,7 @@
 
     def is_evictable(self, now: float) -> bool:
         """Whether the client is silent or slow, or its last request was invalid."""
-        if self.closing or self._has_request():
+        if self.closing or self._has_request() or self.deferred:
             return False
         silent = self.waiting_since > 0.0 and now - self.waiting_since >= FIRST_REQUEST_GRACE_S
         return self.penalised or silent
@@ -513,6 +513,7 @@
 
     def stop_reading(self) -> None:
         """Close, unless there is a complete request; an incomplete one has had no effect yet."""
+        self._read_deferred()
         if not self.closing and not self._has_request():
             self._close_lingering(LINGER_S)
 
@@ -520,8 +521,8 @@
         self.transport.abort()
 
     def evict(self) -> None:
-        """Close at once to free the descriptor, unless there is a complete request."""
-        if not self.closing and not self._has_request():
+        """Close at once to free the descriptor, unless there may be a complete request."""
+        if not self.closing and not self._has_request() and not self.deferred:
             self.closing = True
             self.owner.close_started(self)
             self.transport.close()
