Count a long request's time from when its client wrote it, though its server reads slowly

Cause: the time counted from when the last byte was read here, and reading pauses while the server takes nothing. Change: net/written_ahead.py looks at the receive buffer of a paused body with a stated length every 0.2 s and judges whether its client may have written all of it; if so, the time counts from the beginning of the pause. If the buffers run empty before the body is complete, that is taken back. Bodies in chunks are as before.

--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -268,17 +268,32 @@
                 return True
         return False
 
-    def request_complete(self, call: Call) -> None:
-        """The last byte of a request that was taken early has arrived: start its time budget."""
+    def request_complete(self, call: Call, complete_at: int | None = None) -> None:
+        """The client has written the last byte of a request that was taken early: start its time budget.
+
+        `complete_at` is when that was, in monotonic nanoseconds; None: now.
+        """
         if call.answered or not call.body_incomplete:
             return
         call.body_incomplete = False
         self.account.take(call.class_index)
-        self._set_deadline(call, call.budget)
+        self._set_deadline(call, call.budget, complete_at)
+
+    def expect_complete(self, call: Call, complete_at: int | None) -> None:
+        """The client has probably written the last byte at `complete_at`, which is to be received still.
+
+        The call's time counts from then, in monotonic nanoseconds; None: it has not written it after all.
+        """
+        if call.answered or not call.body_incomplete:
+            return
+        if complete_at is None:
+            self._set_deadline(call, MAX_BODY_RECEIVE_NS)
+        else:
+            self._set_deadline(call, call.budget, complete_at)
 
-    def _set_deadline(self, call: Call, span: int) -> None:
-        """Set the call's deadline `span` nanoseconds from now, less the answer margin."""
-        call.taken_at = time.monotonic_ns()
+    def _set_deadline(self, call: Call, span: int, taken_at: int | None = None) -> None:
+        """Set the call's deadline `span` nanoseconds from `taken_at` or now, less the answer margin."""
+        call.taken_at = time.monotonic_ns() if taken_at is None else taken_at
         if self.drain_deadline:
             span = max(0, min(span, self.drain_deadline - call.taken_at))
             call.budget = min(call.budget, span)
--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import time
 from typing import cast
 
 from garnethaven.engine.account import CallResult
@@ -27,6 +28,7 @@
 from garnethaven.net.requests import IncomingRequest, RequestHead, parse_head
 from garnethaven.net.response_writer import BodyFraming, ResponseWriter, choose_framing
 from garnethaven.net.transport import HttpAttempt
+from garnethaven.net.written_ahead import WrittenAhead
 
 DEFERRED_READ_S = 0.02  # a few iterations of the event loop
 MAX_UNREAD_BYTES = 64 * 1024  # received while a request is in progress; above it, reading pauses
@@ -54,6 +56,7 @@
         self.unconfirmed: IncomingRequest | None = None
         self.call: Call | None = None
         self.streamed_request: IncomingRequest | None = None  # in progress; its body is still being received
+        self.written_ahead = WrittenAhead(sock)  # of the body in progress
         self.streamed_answer: HttpAttempt | None = None  # the attempt whose answer is being streamed
         self.memory = owner.transport.pool.memory
         self.reservation = Reservation(self.memory)
@@ -208,7 +211,7 @@
             return
         self.streamed_request = None
         if self.call is not None:
-            self.engine.request_complete(self.call)
+            self.engine.request_complete(self.call, self.written_ahead.complete_at or None)
 
     # Streamed bodies
 
@@ -221,13 +224,16 @@
             return
         self.keep_alive = self.reader.should_keep_alive()
         self.streamed_request = incoming
+        self.written_ahead.complete_at = 0
         self._handle(incoming)
 
     def pause_reading(self) -> None:
+        self.written_ahead.paused_at = time.monotonic_ns()
         if not self.transport.is_closing():
             self.transport.pause_reading()
 
     def resume_reading(self) -> None:
+        self.written_ahead.paused_at = 0
         if not self.transport.is_closing() and not self.resting:
             self.transport.resume_reading()
 
@@ -488,6 +494,8 @@
 
     def check_timeouts(self, now: float) -> None:
         """End the connection if a request arrives too slowly, an answer is not read, or it is idle."""
+        if self.streamed_request is not None and self.call is not None:
+            self._check_body_written(self.streamed_request, self.call)
         unsent = self.transport.get_write_buffer_size()
         if self.reservation.size:
             self._update_reservation()
@@ -499,6 +507,13 @@
             self.stop_reading()
         self.unsent = unsent
 
+    def _check_body_written(self, incoming: IncomingRequest, call: Call) -> None:
+        """Count the request's time from when its client wrote all of it, though a server reads it slowly."""
+        if incoming.length is None:
+            return
+        if self.written_ahead.update(incoming.length - incoming.body_size()):
+            self.engine.expect_complete(call, self.written_ahead.complete_at or None)
+
     def _check_write_progress(self, unsent: int, now: float) -> None:
         if unsent != self.unsent:
             self.active_at = now
--- a/garnethaven/net/presence.py
+++ b/garnethaven/net/presence.py
@@ -39,14 +39,23 @@
 
 def unacknowledged_bytes(sock: socket.socket) -> int | None:
     """Sent bytes that the peer's kernel has not acknowledged; None if this system can't report them."""
+    return _queued_bytes(sock, termios.TIOCOUTQ)
+
+
+def _queued_bytes(sock: socket.socket, request: int) -> int | None:
     try:
-        queued = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(COUNT.size))
+        queued = fcntl.ioctl(sock, request, bytes(COUNT.size))
     except (OSError, ValueError):
         return None
     (count,) = COUNT.unpack(queued)
     return int(count)
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Received bytes that have not been read; 0 if this system can't report them."""
+    return _queued_bytes(sock, termios.FIONREAD) or 0
+
+
 def has_ended_writing(sock: socket.socket) -> bool:
     """Whether the peer has sent its FIN, even when that has not been read.
 
