Keep an id under way until its last attempt has ended: it could run twice

Cause: an id counted as under way until its request was answered or its client had left, while the attempt runs on where running work is not cancelled. Evidence: the test on the start: two requests at the server and 504, in place of one and 409. Change: an id is released when its request is answered and none of its attempts is open. Measured: tests/crossings/test_repeated_ids.py failed on the start, passes.

--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -101,7 +101,8 @@
         self.queue: deque[Event] = deque()
         self.processing = False
         self.calls: dict[str, Call] = {}
-        self.open_ids: set[bytes] = set()  # of the requests that have no answer yet
+        # Of the requests that have no answer yet, or whose attempts may still run.
+        self.open_ids: set[bytes] = set()
         self.call_numbers = count(1)
         self.timers: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.timer_sequence = count()
@@ -342,7 +343,6 @@
             self.account.record_immediate(call.class_index, end)
         else:
             self.account.end(call.class_index, end)
-        self.open_ids.discard(call.call_id)
         if not call.open_attempts:
             self._forget(call)
         send_answer()
@@ -362,7 +362,8 @@
 
         A timer may reference the call for a while longer; its attempts are released now.
         """
-        self.calls.pop(call.id, None)
+        if self.calls.pop(call.id, None) is not None:
+            self.open_ids.discard(call.call_id)
         call.attempts = []
 
     def _refuse(self, action: Refuse) -> None:
