Ask whether a client is there before its waiting request is sent on

Change: a request that was received during another one is handled after the kernel has been asked for an end of the client's writing, which TCP_INFO shows behind unread bytes; a reset too.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -61,6 +61,7 @@
         self.memory = owner.transport.pool.memory
         self.reservation = Reservation(self.memory)
         self.call_bytes = 0  # memory of the buffered request in progress
+        self.has_waited = False  # the requests that are handled next were received during another one
         self.resting = False  # not read until its turn (costly_reads.py)
         self.write_paused = False  # the client has not read all that was written
         self.keep_alive = True
@@ -101,6 +102,7 @@
             self._read(data)
 
     def _read(self, data: bytes) -> None:
+        self.has_waited = False
         if self.closing:
             max_bytes = MAX_BODY_BYTES if self.streamed_request is not None else MAX_LINGER_BYTES
             self.lingering_close.discard(len(data), max_bytes)
@@ -246,11 +248,15 @@
     # Complete requests
 
     def _handle_ready(self) -> None:
-        """Handle the next complete request, if there is one and no other is in progress."""
+        """Handle the next complete request, if there is one and no other is in progress.
+
+        The client of a request that has waited may have left: reading may be paused, or the loop may lag.
+        """
         while self.reader.ready and self._is_free():
             incoming = self.reader.ready.popleft()
             self.keep_alive = incoming.keep_alive
-            if self.owner.is_lagging() and self.presence.has_ended_writing():
+            may_have_left = self.has_waited or self.owner.is_lagging()
+            if may_have_left and self.presence.has_ended_writing():
                 self.unconfirmed = incoming  # handled once the client is known to be present
                 self.presence.half_close(self._recheck_presence)
             else:
@@ -400,6 +406,7 @@
     def _continue_reading(self) -> None:
         if not self._is_free():
             return
+        self.has_waited = True
         if self.reader.ready:
             self._handle_ready()
             return
--- a/garnethaven/net/presence.py
+++ b/garnethaven/net/presence.py
@@ -8,7 +8,7 @@
 import struct
 import termios
 
-CLOSE_WAIT = 8  # tcpi_state, the first byte of TCP_INFO
+CLOSE, CLOSE_WAIT = 7, 8  # tcpi_state, the first byte of TCP_INFO
 NO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 seconds
 COUNT = struct.Struct("i")
 
@@ -62,18 +62,18 @@
     Raises OSError after a reset, which it clears: the caller must then close the connection.
     """
     try:
-        return not sock.recv(1, socket.MSG_PEEK) or has_received_fin(sock)
+        return not sock.recv(1, socket.MSG_PEEK) or has_received_end(sock)
     except BlockingIOError:
         return False
 
 
-def has_received_fin(sock: socket.socket) -> bool:
-    """Whether the peer has sent its FIN, even behind unread bytes.
+def has_received_end(sock: socket.socket) -> bool:
+    """Whether the peer has sent its FIN or a reset, even behind unread bytes.
 
     False on systems without TCP_INFO.
     """
     try:
-        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == CLOSE_WAIT
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in (CLOSE, CLOSE_WAIT)
     except (AttributeError, OSError, IndexError):
         return False
 
