Keep connections whose requests stand unread when room is made for others

Cause: a connection was judged silent by what had been read. After a moment without processing time the loop accepts first and reads later, so connections with unread requests were closed to make room, or as overdue. Change: evict asks the kernel and tells whether it has closed; the listener goes on to the next silent connection. A connection with anything unread is not closed as overdue.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -530,7 +530,7 @@
     def _end_overdue(self) -> None:
         if self.incoming is not None:
             self._reject_and_close(408)
-        else:
+        elif not has_unread(self.sock):
             self.stop_reading()
 
     def stop_reading(self) -> None:
@@ -542,9 +542,13 @@
     def abort(self) -> None:
         self.transport.abort()
 
-    def evict(self) -> None:
-        """Close at once to free the descriptor, unless there may be a complete request."""
-        if not self.closing and not self._has_request() and not self.deferred:
-            self.closing = True
-            self.owner.close_started(self)
-            self.transport.close()
+    def evict(self) -> bool:
+        """Close at once to free the descriptor; returns False if there may be a complete request."""
+        if self.closing or self._has_request() or self.deferred:
+            return False
+        if not self.penalised and has_unread(self.sock):
+            return False  # the rest of the request, or its client's close, which will be read soon
+        self.closing = True
+        self.owner.close_started(self)
+        self.transport.close()
+        return True
--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -274,17 +274,19 @@
         now = self.loop.time()
         silent = [candidate for candidate in self.connections if candidate.is_evictable(now)]
         silent.sort(key=lambda candidate: candidate.waiting_since)
-        for connection in silent[:wanted]:
-            connection.evict()
-        if silent:
-            return min(wanted, len(silent))
+        evicted = 0
+        for connection in silent:
+            evicted += connection.evict()
+            if evicted == wanted:
+                break
+        if evicted:
+            return evicted
 
         def eviction_order(candidate: OwnedConnection) -> tuple[bool, float]:
             return candidate.usage.request_count > 0, -self.places.expected_wait(candidate.usage, now)
 
         for connection in sorted(self.connections, key=eviction_order):
-            if connection.is_idle():
-                connection.evict()
+            if connection.is_idle() and connection.evict():
                 return 1
         return 0
 
--- a/garnethaven/net/owner.py
+++ b/garnethaven/net/owner.py
@@ -38,8 +38,11 @@
     def stop_reading(self) -> None:
         """Close the connection with a lingering close, unless a complete request is in progress."""
 
-    def evict(self) -> None:
-        """Close the connection at once to free its descriptor, unless a complete request is in progress."""
+    def evict(self) -> bool:
+        """Close the connection at once to free its descriptor; returns whether it was closed.
+
+        It is kept if there may be a complete request, also one that is unread in the kernel.
+        """
 
     def abort(self) -> None:
         """Close the connection at once; bytes that are not yet written are dropped."""
