--- a/garnethaven/net/listener.py
+++ b/garnethaven/net/listener.py
@@ -279,8 +279,8 @@
             evicted += connection.evict()
             if evicted == wanted:
                 break
-        if evicted:
-            return evicted
+        if silent:
+            return evicted  # those that are kept have unread bytes, which are read soon
 
         def eviction_order(candidate: OwnedConnection) -> tuple[bool, float]:
             return candidate.usage.request_count > 0, -self.places.expected_wait(candidate.usage, now)
