Excuse in the rigs what was written to a killed process until it had ended

Cause: the fleet of the rigs marked the requests that a killed process held before it killed it. Evidence: n19-001181: sent 0.042 s after the kill of n19 had begun, written, process dead. Change: the requests are marked once the process has ended and before another one starts. The check is as strict: what is written to a running process still has to be answered, and only the process that was killed is excused.

--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -224,10 +224,11 @@
         async with node.lifecycle:
             node.down, node.killed_at = True, now()
             node.initial_list = self.discovery.snapshot(node.view)
+            await node.program.kill()
+            # Only now: a request may be written to the process until it has ended.
             for sent in self.ledger.sent.values():
                 if sent.program == name and sent.final is None and sent.written:
                     sent.abandoned = True  # the killed process held the request
-            await node.program.kill()
 
     async def do_start(self, name: str, fault: Fault) -> None:
         node = self.nodes[name]
