Close clients that send nothing but blank lines again, though they have bytes unread

Such bytes are counted and are no request. Change: only a connection of which nothing has been read since its last request is spared. Measured: the new test in tests/crossings/test_evictions.py failed before, passes.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -530,8 +530,8 @@
     def _end_overdue(self) -> None:
         if self.incoming is not None:
             self._reject_and_close(408)
-        elif not has_unread(self.sock):
-            self.stop_reading()
+        elif self.reader.head_size or not has_unread(self.sock):
+            self.stop_reading()  # blank lines are no request
 
     def stop_reading(self) -> None:
         """Close, unless there is a complete request; an incomplete one has had no effect yet."""
--- a/tests/crossings/test_evictions.py
+++ b/tests/crossings/test_evictions.py
@@ -77,3 +77,23 @@
             sock.close()
 
     run(case())
+
+
+# The failure to guard against: a client that sends blank lines without end has something unread at all times.
+def test_a_client_that_sends_blank_lines_only_is_closed_as_overdue(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(request_deadlines, "HEAD_S", 0.1)
+
+    async def case() -> None:
+        async with running_sidecar(answers_with(ANSWER)) as (sidecar, _):
+            sock = await sidecar.plain()
+            sock.sendall(b"\r\n" * 10)
+            await wait_until(lambda: len(sidecar.listener.connections) == 1)
+            (connection,) = sidecar.listener.connections
+            await wait_until(lambda: connection.reader.head_size > 0)
+            sock.sendall(b"\r\n" * 10)
+            time.sleep(0.15)
+            connection.check_timeouts(sidecar.listener.loop.time())
+            assert connection.closing
+            sock.close()
+
+    run(case())
