Go on reading after a pause for unread answers, whatever ended in between

Change: the end of the pause for unread answers goes on with the connection in any case. Measured: the new test in tests/net/test_buffer_account.py failed before, passes.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -341,7 +341,7 @@
         self._update_reservation()
         if self.streamed_answer is not None:
             self.streamed_answer.resume()
-        elif self._has_more_to_handle():
+        else:
             self.owner.loop.call_soon(self._continue_reading)
 
     def _has_more_to_handle(self) -> bool:
--- a/tests/net/test_buffer_account.py
+++ b/tests/net/test_buffer_account.py
@@ -162,3 +162,21 @@
             sock.close()
 
     run(case())
+
+
+# The failure to guard against: a pause for unread answers that ends after another pause is never ended.
+def test_a_client_that_reads_late_after_an_invalid_request_is_read_again() -> None:
+    async def case() -> None:
+        async with running_sidecar(answers_with(ANSWER)) as (sidecar, _):
+            reader, writer = await sidecar.connect()
+            writer.write(request(X_Call_Class="unknown"))
+            assert (await read_answer(reader))[0] == 400
+            connection = only_connection(sidecar)
+            connection.pause_writing()
+            await wait_until(lambda: not connection.penalised)
+            connection.resume_writing()
+            writer.write(request())
+            assert await read_answer(reader) == (200, b"hello")
+            writer.close()
+
+    run(case())
