--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -224,11 +224,15 @@
         async with node.lifecycle:
             node.down, node.killed_at = True, now()
             node.initial_list = self.discovery.snapshot(node.view)
+            self._excuse_pending(name)
             await node.program.kill()
-            # Only now: a request may be written to the process until it has ended.
-            for sent in self.ledger.sent.values():
-                if sent.program == name and sent.final is None and sent.written:
-                    sent.abandoned = True  # the killed process held the request
+            self._excuse_pending(name)  # a request may be written to the process until it has ended
+
+    def _excuse_pending(self, name: str) -> None:
+        """Mark the unanswered requests that a process held which is being killed."""
+        for sent in self.ledger.sent.values():
+            if sent.program == name and sent.final is None and sent.written:
+                sent.abandoned = True
 
     async def do_start(self, name: str, fault: Fault) -> None:
         node = self.nodes[name]
