--- a/rigs/__main__.py
+++ b/rigs/__main__.py
@@ -18,11 +18,13 @@
     "registry": "servers in etcd and in Consul: compactions, removals during link cuts, a lagging member",
     "budgets": "24 programs that share a retry budget: a retry storm through partitions and kills",
     "tenants": "16 programs that share counters over lossy links: a tenant at 20 times its allowance",
+    "slow-peers": "long requests and answers between peers that read and write slowly, with small buffers",
     "soak": "randomized runs of one program under mixed faults, ended by signals and an early SIGKILL",
     "limits": "connection limits, list updates and overload with hostile clients and a failing discovery",
 }
 
 FRONTS = ("external-processor",)
+SEEDED = ("soak", "slow-peers")  # run several seeds
 
 
 def main() -> int:
@@ -39,21 +41,21 @@
         "--runs",
         type=int,
         default=1,
-        help="number of consecutive seeds that the soak runs, starting at --seed",
+        help="number of consecutive seeds that the soak and slow-peers run, starting at --seed",
     )
     parser.add_argument("--json", action="store_true", help="end with one JSON object")
     options = parser.parse_args()
     if options.seconds is not None and not 1.0 <= options.seconds <= 120.0:
         parser.error("--seconds must be from 1 to 120")
-    if not 1 <= options.runs <= 1000 or (options.runs > 1 and options.name != "soak"):
-        parser.error("--runs must be from 1 to 1000; only the soak accepts more than 1")
+    if not 1 <= options.runs <= 1000 or (options.runs > 1 and options.name not in SEEDED):
+        parser.error(f"--runs must be from 1 to 1000; only {' and '.join(SEEDED)} accept more than 1")
     if options.front and options.name != "demo":
         parser.error(f"{options.name} takes no front; only the demo does")
     seed = options.seed if options.seed is not None else random.SystemRandom().getrandbits(31)
     name = "-".join(word for word in (options.name, options.front) if word)
     rig = importlib.import_module(f"rigs.{name.replace('-', '_')}")
     print(f"rig {name}, seed {seed}", file=sys.stderr)
-    extra = {"runs": options.runs} if options.name == "soak" else {}
+    extra = {"runs": options.runs} if options.name in SEEDED else {}
     passed: bool = asyncio.run(rig.play(seed, options.seconds, options.json, **extra))
     return 0 if passed else 1
 
--- a/standins/failing_calls.c
+++ b/standins/failing_calls.c
@@ -6,6 +6,8 @@
  * CLOCK_STEPS     steps AT_MS:SECONDS of CLOCK_REALTIME, separated by ';'; the steps that are due add up.
  * FAILING_SEED    seed of the random numbers.
  * FAILING_COUNTS  file of 64-bit counters, one for each rule and one for reads of a stepped clock.
+ * SEND_BUFFER     SO_SNDBUF of the connections that this process opens, in bytes; 0: the kernel's choice.
+ * SEGMENT         TCP_MAXSEG of the same connections, in bytes; loopback's segments are far larger than others'.
  *
  * Only AF_INET sockets are affected, and only connections opened by this process are broken: a client whose
  * connection breaks cannot tell whether its request ran, whatever this process does. */
@@ -13,6 +15,8 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -32,6 +36,7 @@
 static struct rule rules[MAX_RULES];
 static struct step steps[MAX_STEPS];
 static int rule_count, step_count;
+static int send_buffer, segment;
 static uint64_t *counts;
 static unsigned char opened_here[MAX_DESCRIPTORS];
 static uint64_t random_state = 1;
@@ -61,6 +66,10 @@
         if (sscanf(part, "%ld:%ld", &steps[step_count].at_ms, &steps[step_count].seconds) != 2) abort();
         step_count++;
     }
+    text = getenv("SEND_BUFFER");
+    send_buffer = text ? atoi(text) : 0;
+    text = getenv("SEGMENT");
+    segment = text ? atoi(text) : 0;
     text = getenv("FAILING_SEED");
     random_state = (text ? strtoull(text, NULL, 10) : 0) * 2654435761u + 88172645463325252u;
     int counts_fd = open(getenv("FAILING_COUNTS"), O_RDWR | O_CREAT, 0600);
@@ -117,8 +126,14 @@
     return mark_accepted(REAL(accept)(fd, address, size));
 }
 
+static void limit_buffers(int fd) {
+    if (send_buffer) setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof send_buffer);
+    if (segment) setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+}
+
 int connect(int fd, const struct sockaddr *address, socklen_t size) {
     if (address->sa_family == AF_INET && inject_failure("connect")) return -1;
+    if (address->sa_family == AF_INET) limit_buffers(fd);
     if (fd < MAX_DESCRIPTORS) opened_here[fd] = 1;
     return REAL(connect)(fd, address, size);
 }
--- a/standins/failing_calls.py
+++ b/standins/failing_calls.py
@@ -46,12 +46,18 @@
 
 @dataclass(frozen=True)
 class FaultPlan:
-    """The faults of one program. `steps` are wall-clock steps: (seconds after the start, step in seconds)."""
+    """The faults of one program. `steps` are wall-clock steps: (seconds after the start, step in seconds).
+
+    `send_buffer_bytes` and `segment_bytes` are those of the connections that the program opens; 0: the
+    kernel's choice.
+    """
 
     folder: Path
     calls: list[FailingCall] = field(default_factory=list)
     steps: list[tuple[float, int]] = field(default_factory=list)
     seed: int = 1
+    send_buffer_bytes: int = 0
+    segment_bytes: int = 0
 
     def environment(self) -> dict[str, str]:
         return {
@@ -60,6 +66,8 @@
             "CLOCK_STEPS": ";".join(f"{int(at_s * 1000)}:{step_s}" for at_s, step_s in self.steps),
             "FAILING_SEED": str(self.seed),
             "FAILING_COUNTS": str(self.folder / "counts"),
+            "SEND_BUFFER": str(self.send_buffer_bytes),
+            "SEGMENT": str(self.segment_bytes),
         }
 
     def injected(self) -> list[int]:
