Log requests that were not served: id, reason, each attempt and the state of the body

Change: engine/unserved.py writes a line for a request that failed, that was refused after an attempt, or whose client left after its time; at most one in 5 s within the program's one line a second, the others are counted in it. A trial shows its limit: for 216,009 bytes in chunks at a server that stops there is no line, as the program neither ends the request nor notices that its client has left while reading is paused.

--- a/garnethaven/engine/calls.py
+++ b/garnethaven/engine/calls.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, Protocol
 
-from garnethaven.interface import PriorAttempt, Send
+from garnethaven.interface import Outcome, PriorAttempt, Send
 
 
 class Client(Protocol):
@@ -67,10 +68,12 @@
         "client",
         "deadline",
         "dedup_key",
+        "describe_request",
         "id",
         "is_retry",
         "key",
         "open_attempts",
+        "outcomes",
         "prior",
         "request",
         "streaming_attempt",
@@ -93,6 +96,8 @@
         self.id = ""
         self.attempts: list[Attempt | None] = []  # None: not sent by this process
         self.open_attempts = 0  # attempts that have not ended
+        self.outcomes: list[tuple[int, Outcome]] = []  # endpoint and outcome of each attempt that has ended
+        self.describe_request: Callable[[], str] | None = None  # the state of its body, for the log
         self.answered = False
         self.body_incomplete = False  # the last byte of the request has not arrived
         self.streaming_attempt: Attempt | None = None  # the attempt whose answer is streaming to the client
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -29,6 +29,7 @@
 from garnethaven.engine.calls import Attempt, Call
 from garnethaven.engine.log import write_line
 from garnethaven.engine.spending import Spend, Spending
+from garnethaven.engine.unserved import UnservedLog
 from garnethaven.interface import (
     NEVER_RAN,
     Action,
@@ -115,6 +116,7 @@
         self.watch: Callable[[], None] = lambda: None  # set by discovery, as is `report_outcome`
         self.report_outcome: Callable[[int, Outcome], None] = lambda endpoint, outcome: None
         self.logged_at = 0
+        self.unserved = UnservedLog(self.try_log)
         # Monotonic time by which a draining process must have answered every call; 0: no such time is set.
         self.drain_deadline = 0
         self.action_handlers: dict[type[Action], Callable[[Any], None]] = {
@@ -338,7 +340,8 @@
         if call.answered:
             return
         call.answered = True
-        call.request = None
+        self.unserved.record(call, end, time.monotonic_ns())
+        call.request = call.describe_request = None
         if call.body_incomplete:
             self.account.record_immediate(call.class_index, end)
         else:
@@ -465,6 +468,7 @@
         """Report how an attempt ended; `send_answer`, if set, first sends the answer to the client."""
         call = attempt.call
         call.open_attempts -= 1
+        call.outcomes.append((attempt.endpoint, outcome))
         if call.dedup_key and outcome in NEVER_RAN and self.keyed_sends is not None:
             self.keyed_sends.never_ran(call)
         if outcome is not Outcome.CONNECT_FAILED or attempt.refused:
--- a/garnethaven/membership/discovery.py
+++ b/garnethaven/membership/discovery.py
@@ -37,7 +37,7 @@
     CallTiming,
     Failure,
 )
-from garnethaven.membership.list_reader import Entries, ListError, ListReader
+from garnethaven.membership.list_reader import Entries, ListError, ListReader, name_of
 from garnethaven.net.exchange import Answer, Exchange
 from garnethaven.net.transport import HttpTransport
 from garnethaven.net.upstream import Pool, Target
@@ -149,6 +149,7 @@
         self.fetch_calls = 0  # the calls among `calls_made` that are fetches, not watches
         engine.watch = self.watch
         engine.report_outcome = self.contradicts
+        engine.unserved.endpoint_name = name_of
 
     def start(self, known: dict[str, Any]) -> None:
         """Hand over the list persisted by a previous process (`known`), and schedule its confirmation."""
--- a/garnethaven/net/call_making.py
+++ b/garnethaven/net/call_making.py
@@ -25,6 +25,7 @@
     """Build the call of a request whose head has been received; its body may be incomplete."""
     request = HttpRequest(client, head.forwarded, incoming.streamed_body or incoming.body)
     call = Call(client, head.call_id, transport, request)
+    call.describe_request = request.describe
     call.class_index = head.class_index
     # A budget beyond the class's deadline would only keep memory in use.
     call.budget = min(head.budget_ms * MS, settings.request_classes[head.class_index].deadline)
--- a/garnethaven/net/flow.py
+++ b/garnethaven/net/flow.py
@@ -91,6 +91,12 @@
         """The bytes that are buffered, also in the write buffer of the sink."""
         return len(self.replay_buffer) + self.unsent_bytes
 
+    def describe(self) -> str:
+        """The state of the body, for the log."""
+        extent = "in chunks" if self.length is None else f"of {self.length}"
+        state = "complete" if self.complete else "incomplete, reading paused" if self.paused else "incomplete"
+        return f"body of {self.size} bytes received {extent}, {state}, {self.held_bytes()} buffered"
+
     def drop_replay(self) -> None:
         """Keep nothing of what the sink has been given: the body can't be sent again."""
         self.replay_lost = True
--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -60,6 +60,12 @@
         self.head_before_budget, self.head_after_budget = head
         self.body = body
 
+    def describe(self) -> str:
+        """The state of the body, for the log."""
+        if isinstance(self.body, StreamedBody):
+            return self.body.describe()
+        return f"body of {len(self.body)} bytes"
+
 
 class HttpAttempt(Exchange):
     """One attempt of a call at one endpoint; the engine's `Attempt`."""
