Count a long request's time from its client's last byte, in any framing and size

Cause: a request's time counts from when its client wrote the last byte; the program counted from when it read that byte, and it does not read while the server takes nothing. Only bodies with a stated length were watched, and for 2.5 MB in a client's kernel; this kernel holds 4 MB, so 3,000,000 bytes with a length were late too. Change: net/read_lag.py bounds when the client can have written what is unread, from the pauses, the bytes read and what its kernel may hold. net/upload_timing.py (in place of written_ahead.py) looks every 0.2 s: once an eighth of the request's time may have passed, the body is read on ahead of its server, within half of the account of buffers and a quarter for one, until nothing is unread. Then it is known whether the last byte is there. Where no more may be buffered, the earliest possible time counts. What a server has not taken of a complete body stays in the account. Why this works: a body that is read as it is written tells its end at once; else the assumed time is never later than the true one. What it costs: beyond the account, a client that has not written all may be refused early.

--- a/garnethaven/limits/budgets.py
+++ b/garnethaven/limits/budgets.py
@@ -23,6 +23,9 @@
 | a longer answer that can be streamed | it is streamed, and read as fast as the client takes it |
 | another longer answer | it is aborted like an invalid one |
 
+A long body is also read ahead of a server that takes it slowly, to learn when its client has written all of
+it. That takes `READ_AHEAD_SHARE` of the account at most, so it never fills it.
+
 Reads are small meanwhile (net/read_buffer.py), so the account is exceeded by the protected bytes of each
 connection at most.
 
@@ -45,6 +48,8 @@
 RESERVED_MEMORY_BYTES = 31 * MB  # for the program, its endpoint list and the connections' own objects
 ALLOCATOR_SHARE = 0.7  # of the rest that is used for buffers; the allocator's fragments take some more
 MIN_BUFFER_BYTES = MB // 2
+READ_AHEAD_SHARE = 0.5  # of the account, for all bodies that are read ahead
+MAX_READ_AHEAD_SHARE = 0.25  # of the account, for one of them
 PROTECTED_BYTES = 4 * 1024  # what each connection may buffer, however full the account is
 LIST_MEMORY_SHARE = 1 / 32  # of the memory, for the JSON text of a server list
 MIN_LIST_BYTES = 2 * MB
@@ -112,6 +117,15 @@
     def is_full(self) -> bool:
         return self.used_bytes > self.max_bytes
 
+    def read_ahead_bytes(self, size: int) -> int:
+        """How many bytes a connection that buffers `size` may buffer to read a body ahead of its server."""
+        left = int(self.max_bytes * READ_AHEAD_SHARE) - (self.used_bytes - size)
+        return max(0, min(left, int(self.max_bytes * MAX_READ_AHEAD_SHARE)))
+
+    def has_room_to_read_ahead(self) -> bool:
+        """Whether bodies may be read ahead of their servers any further."""
+        return self.used_bytes < self.max_bytes * READ_AHEAD_SHARE
+
     def is_too_much(self, size: int) -> bool:
         """Whether a connection that buffers `size` bytes must give some of them up."""
         return size > PROTECTED_BYTES and self.used_bytes > self.max_bytes
--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import socket
-import time
 from typing import cast
 
 from garnethaven.engine.account import CallResult
@@ -18,7 +17,7 @@
 from garnethaven.net.client_presence import ClientPresence
 from garnethaven.net.costly_reads import MAX_PARTS_PER_READ
 from garnethaven.net.exchange import Answer, Header
-from garnethaven.net.flow import MAX_BODY_BYTES, STREAM_STALL_S
+from garnethaven.net.flow import MAX_BODY_BYTES, STREAM_STALL_S, StreamedBody
 from garnethaven.net.lingering_close import LINGER_S, MAX_LINGER_BYTES, STREAM_LINGER_S, LingeringClose
 from garnethaven.net.local_paths import local_status
 from garnethaven.net.owner import Owner
@@ -28,7 +27,7 @@
 from garnethaven.net.requests import IncomingRequest, RequestHead, parse_head
 from garnethaven.net.response_writer import BodyFraming, ResponseWriter, choose_framing
 from garnethaven.net.transport import HttpAttempt
-from garnethaven.net.written_ahead import WrittenAhead
+from garnethaven.net.upload_timing import UploadTiming
 
 DEFERRED_READ_S = 0.02  # a few iterations of the event loop
 MAX_UNREAD_BYTES = 64 * 1024  # received while a request is in progress; above it, reading pauses
@@ -56,11 +55,12 @@
         self.unconfirmed: IncomingRequest | None = None
         self.call: Call | None = None
         self.streamed_request: IncomingRequest | None = None  # in progress; its body is still being received
-        self.written_ahead = WrittenAhead(sock)  # of the body in progress
         self.streamed_answer: HttpAttempt | None = None  # the attempt whose answer is being streamed
         self.memory = owner.transport.pool.memory
         self.reservation = Reservation(self.memory)
+        self.timing = UploadTiming(sock, owner.engine, self.memory)
         self.call_bytes = 0  # memory of the buffered request in progress
+        self.sent_body: StreamedBody | None = None  # complete, of the request in progress; may be unsent
         self.has_waited = False  # the requests that are handled next were received during another one
         self.resting = False  # not read until its turn (costly_reads.py)
         self.write_paused = False  # the client has not read all that was written
@@ -85,6 +85,11 @@
 
     def data_received(self, data: bytes) -> None:
         self.active_at = self.owner.loop.time()
+        self.timing.bytes_read(len(data))
+        self._receive(data)
+        self.timing.read_handled()
+
+    def _receive(self, data: bytes) -> None:
         if self.deferred or self.owner.should_defer_reading(self.active_at):
             if not self.deferred:
                 self.owner.loop.call_later(DEFERRED_READ_S, self._read_deferred)
@@ -117,6 +122,8 @@
         self._update_reservation()
         if self.reservation.is_too_much():
             self._give_up_memory()
+        elif self.reader.is_body_read_ahead() and not self.memory.has_room_to_read_ahead():
+            self.reader.stop_reading_ahead()
 
     # The account of buffered bytes
 
@@ -126,7 +133,9 @@
     def _held_bytes(self) -> int:
         """The memory that requests and unread answers of this connection take."""
         unsent = self.transport.get_write_buffer_size()
-        return self.reader.held_bytes() + self.call_bytes + len(self.unread) + len(self.deferred) + unsent
+        sent_body = self.sent_body.held_bytes() if self.sent_body is not None else 0
+        request_bytes = self.reader.held_bytes() + self.call_bytes + sent_body
+        return request_bytes + len(self.unread) + len(self.deferred) + unsent
 
     def _give_up_memory(self) -> None:
         """The account is full: refuse the request that is being received, or buffer less of its body."""
@@ -168,7 +177,7 @@
     def connection_lost(self, problem: Exception | None) -> None:
         self.closing = True
         self.lingering_close.cancel()
-        self.streamed_request = self.streamed_answer = self.unconfirmed = None
+        self.streamed_request = self.streamed_answer = self.unconfirmed = self.sent_body = None
         self.reader.close()
         self.reservation.resize(0)
         call, self.call = self.call, None
@@ -193,6 +202,7 @@
         """Read nothing more until it is this connection's turn."""
         if not self.resting and not self.transport.is_closing():
             self.resting = True
+            self.timing.reading_paused()
             self.transport.pause_reading()
             self.owner.costly_reads.rest(self._end_rest)
 
@@ -213,7 +223,8 @@
             return
         self.streamed_request = None
         if self.call is not None:
-            self.engine.request_complete(self.call, self.written_ahead.complete_at or None)
+            self.sent_body = incoming.streamed_body
+            self.engine.request_complete(self.call, self.timing.completed_at())
 
     # Streamed bodies
 
@@ -226,17 +237,17 @@
             return
         self.keep_alive = self.reader.should_keep_alive()
         self.streamed_request = incoming
-        self.written_ahead.complete_at = 0
+        self.timing.request_began()
         self._handle(incoming)
 
     def pause_reading(self) -> None:
-        self.written_ahead.paused_at = time.monotonic_ns()
+        self.timing.reading_paused()
         if not self.transport.is_closing():
             self.transport.pause_reading()
 
     def resume_reading(self) -> None:
-        self.written_ahead.paused_at = 0
         if not self.transport.is_closing() and not self.resting:
+            self.timing.reading_resumed()
             self.transport.resume_reading()
 
     def _abandon_call(self) -> None:
@@ -392,7 +403,7 @@
         return self.keep_alive
 
     def _answer_written(self) -> None:
-        self.call = self.streamed_answer = None
+        self.call = self.streamed_answer = self.sent_body = None
         self.call_bytes = 0
         self._update_reservation()
         self.writer.answer_ended()
@@ -502,7 +513,7 @@
     def check_timeouts(self, now: float) -> None:
         """End the connection if a request arrives too slowly, an answer is not read, or it is idle."""
         if self.streamed_request is not None and self.call is not None:
-            self._check_body_written(self.streamed_request, self.call)
+            self.timing.check(self.streamed_request, self.call, self.reservation.size)
         unsent = self.transport.get_write_buffer_size()
         if self.reservation.size:
             self._update_reservation()
@@ -514,13 +525,6 @@
             self.stop_reading()
         self.unsent = unsent
 
-    def _check_body_written(self, incoming: IncomingRequest, call: Call) -> None:
-        """Count the request's time from when its client wrote all of it, though a server reads it slowly."""
-        if incoming.length is None:
-            return
-        if self.written_ahead.update(incoming.length - incoming.body_size()):
-            self.engine.expect_complete(call, self.written_ahead.complete_at or None)
-
     def _check_write_progress(self, unsent: int, now: float) -> None:
         if unsent != self.unsent:
             self.active_at = now
--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -127,6 +127,9 @@
             self._write_request_bytes(LAST_CHUNK)
         self._check_request_written()
 
+    def unsent_bytes(self) -> int:
+        return self.transport.get_write_buffer_size()
+
     def _write_request_bytes(self, data: bytes) -> None:
         self.request_bytes_written += len(data)
         self.transport.write(data)
--- a/garnethaven/net/flow.py
+++ b/garnethaven/net/flow.py
@@ -1,8 +1,9 @@
 """Streams a request's body that is too long to be buffered from the client's connection to an endpoint's.
 
 Backpressure: when the write buffer of one side is full, reading from the other side pauses, so a body takes a
-bounded amount of memory whatever its length. Up to `REPLAY_BUFFER_BYTES` stay buffered and can be replayed to
-another endpoint; once more than that has been passed on, the body can't be sent again.
+bounded amount of memory whatever its length. The bound is higher while a body is read ahead of its server
+(upload_timing.py). Up to `REPLAY_BUFFER_BYTES` stay buffered and can be replayed to another endpoint; once
+more than that has been passed on, the body can't be sent again.
 """
 
 from __future__ import annotations
@@ -55,6 +56,9 @@
     def finish_body(self) -> None:
         """Finish the body after its last part."""
 
+    def unsent_bytes(self) -> int:
+        """The bytes in the write buffer."""
+
 
 class StreamedBody:
     """One request's body; `length` is its size in bytes, None if the framing does not state it."""
@@ -63,7 +67,7 @@
         self.source = source
         self.length = length
         self.replay_buffer = bytearray()
-        self.unsent_bytes = 0  # of the last part, while the sink has not written it
+        self.max_held_bytes = 0  # up to which the source is read ahead of the sink; 0: it is not
         self.size = 0  # bytes received
         self.complete = False
         self.replay_lost = False  # the replay buffer was dropped: the body can't be sent again
@@ -79,17 +83,28 @@
             self.replay_buffer += data
         if self.sink is None:
             if self.size > REPLAY_BUFFER_BYTES and not self.replay_lost:
-                self._pause()
+                self._pause_unless_ahead()
             return
         if self.size > REPLAY_BUFFER_BYTES:
             self.drop_replay()
         if not self.sink.write_part(data):
-            self.unsent_bytes = len(data)
-            self._pause()
+            self._pause_unless_ahead()
 
     def held_bytes(self) -> int:
         """The bytes that are buffered, also in the write buffer of the sink."""
-        return len(self.replay_buffer) + self.unsent_bytes
+        return len(self.replay_buffer) + (self.sink.unsent_bytes() if self.sink is not None else 0)
+
+    def read_ahead(self, max_held_bytes: int) -> bool:
+        """Read on from the source until so many bytes are buffered; returns whether that has just begun."""
+        begins = self.max_held_bytes == 0 and self.paused and self.held_bytes() < max_held_bytes
+        self.max_held_bytes = max_held_bytes
+        if self.held_bytes() < max_held_bytes:
+            self._resume_source()
+        return begins
+
+    def _pause_unless_ahead(self) -> None:
+        if self.held_bytes() >= self.max_held_bytes:
+            self._pause()
 
     def describe(self) -> str:
         """The state of the body, for the log."""
@@ -104,8 +119,11 @@
 
     def hold(self) -> None:
         """Buffer as little as possible: drop what a sink has been given, or pause until there is one."""
+        self.max_held_bytes = 0
         if self.sink is not None:
             self.drop_replay()
+            if self.sink.unsent_bytes():
+                self._pause()
         elif not self.replay_lost:
             self._pause()
 
@@ -124,7 +142,6 @@
         room = True
         if self.replay_buffer:
             room = sink.write_part(bytes(self.replay_buffer))
-            self.unsent_bytes = 0 if room else len(self.replay_buffer)
         if self.size > REPLAY_BUFFER_BYTES:
             self.drop_replay()
         if self.complete:
@@ -136,12 +153,14 @@
         """Detach a sink whose connection has ended or carries another request."""
         if self.sink is sink:
             self.sink = None
-            self.unsent_bytes = 0
             self.resume()  # further parts are buffered for the next sink, or dropped
 
     def resume(self) -> None:
         """Resume the source; called when the sink's write buffer has room again."""
-        self.unsent_bytes = 0
+        self.max_held_bytes = 0
+        self._resume_source()
+
+    def _resume_source(self) -> None:
         if self.paused:
             self.paused = False
             self.source.resume_reading()
--- /dev/null
+++ b/garnethaven/net/read_lag.py
@@ -0,0 +1,107 @@
+"""How far reading from a client lags behind its writing, and when it may have written a byte still unread.
+
+A request's time counts from when its client wrote the last byte, into its kernel's send buffer. Here that
+byte is read later wherever reading pauses: while a server takes no more of the body, or while the connection
+waits for its turn (costly_reads.py). What the client's kernel holds cannot be seen, but it is bounded, and
+once nothing is unread all that the client has written has been read.
+"""
+
+from __future__ import annotations
+
+import functools
+import socket
+from collections import deque
+from dataclasses import dataclass
+from pathlib import Path
+
+from garnethaven.net.flow import RECEIVE_BUFFER_BYTES
+from garnethaven.net.presence import has_unread, unread_bytes
+
+SEND_BUFFER_LIMITS = Path("/proc/sys/net/ipv4/tcp_wmem")  # of a socket in bytes: least, initial, most
+DEFAULT_MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # Linux's own default
+# What this side's receive buffer and the segments in flight hold beyond a client's send buffer.
+RECEIVE_SIDE_BYTES = 4 * RECEIVE_BUFFER_BYTES
+SAMPLE_INTERVAL_NS = 50_000_000
+
+
+@functools.cache
+def max_unread_bytes() -> int:
+    """The most bytes that a client of this machine may have written and this process has not read."""
+    try:
+        send_buffer = int(SEND_BUFFER_LIMITS.read_text().split()[2])
+    except (OSError, ValueError, IndexError):
+        send_buffer = DEFAULT_MAX_SEND_BUFFER_BYTES
+    return send_buffer + RECEIVE_SIDE_BYTES
+
+
+@dataclass(slots=True, frozen=True)
+class Sample:
+    """The bytes that had been read from the connection at a time, in monotonic nanoseconds."""
+
+    time: int
+    read_bytes: int
+
+
+class ReadLag:
+    """The lag of one connection's reading; times are monotonic nanoseconds."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.read_bytes = 0
+        self.paused = False
+        self.samples: deque[Sample] = (
+            deque()
+        )  # since something may be unread, oldest first; empty: nothing is
+
+    def reading_paused(self, now: int) -> None:
+        """From now on the client may write what is not read."""
+        self.paused = True
+        self._add_sample(now)
+
+    def reading_resumed(self) -> None:
+        self.paused = False
+
+    def update(self, now: int) -> None:
+        """Find out whether something is still unread."""
+        is_behind = has_unread(self.sock)
+        if not is_behind:
+            self.samples.clear()
+        if is_behind or self.paused:
+            self._add_sample(now)
+
+    def _add_sample(self, now: int) -> None:
+        samples = self.samples
+        if len(samples) > 1 and samples[-2].read_bytes == samples[-1].read_bytes == self.read_bytes:
+            samples.pop()  # of equal samples the first and the last are kept
+        if not samples or now - samples[-1].time >= SAMPLE_INTERVAL_NS:
+            samples.append(Sample(now, self.read_bytes))
+        while len(samples) > 1 and samples[1].read_bytes + max_unread_bytes() < self.read_bytes:
+            samples.popleft()
+
+    def written_since(self, missing_bytes: int | None) -> int | None:
+        """The earliest time at which the client can have written the last byte, which has not been read.
+
+        `missing_bytes` are those before and with the last byte that have not been read; None: not known. None
+        if the client has certainly not written it.
+        """
+        if not self.samples or not has_unread(self.sock):
+            return None
+        if missing_bytes is None:
+            missing_bytes = max(1, min(unread_bytes(self.sock), max_unread_bytes()))
+        return self._earliest(self.read_bytes + missing_bytes)
+
+    def read_bytes_written_since(self) -> int | None:
+        """The earliest time at which the client can have written the last byte that was read; None: now."""
+        return self._earliest(self.read_bytes)
+
+    def _earliest(self, total_bytes: int) -> int | None:
+        """The earliest time at which the client can have written so many bytes; None: never up to now."""
+        previous = self.samples[0] if self.samples else None
+        for sample in self.samples:
+            if sample.read_bytes + max_unread_bytes() >= total_bytes:
+                assert previous is not None
+                return previous.time
+            previous = sample
+        if self.samples and self.read_bytes + max_unread_bytes() >= total_bytes:
+            return self.samples[-1].time
+        return None
--- a/garnethaven/net/request_reader.py
+++ b/garnethaven/net/request_reader.py
@@ -146,6 +146,16 @@
         body = self.incoming.streamed_body if self.incoming is not None else None
         return body is not None and body.paused
 
+    def is_body_read_ahead(self) -> bool:
+        """Whether the body that is being received is read ahead of the server that it is written to."""
+        body = self.incoming.streamed_body if self.incoming is not None else None
+        return body is not None and body.max_held_bytes > 0
+
+    def stop_reading_ahead(self) -> None:
+        """Read the body that is being received as fast as its server takes it."""
+        if self.incoming is not None and self.incoming.streamed_body is not None:
+            self.incoming.streamed_body.hold()
+
     def should_keep_alive(self) -> bool:
         return self.parser is not None and self.parser.should_keep_alive()
 
--- /dev/null
+++ b/garnethaven/net/upload_timing.py
@@ -0,0 +1,69 @@
+"""When the time of a request begins whose body is still being received.
+
+That is when its client has written the last byte. While a server takes the body slowly, this process reads on
+ahead of it, within the account of buffered bytes, until it has read all that the client wrote: then it knows.
+Where it may not buffer more, it assumes the earliest possible time, so that no answer is late.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+
+from garnethaven.engine.calls import Call
+from garnethaven.engine.engine import Engine
+from garnethaven.limits.budgets import BufferMemory
+from garnethaven.net.read_lag import ReadLag
+from garnethaven.net.requests import IncomingRequest
+
+# A lag of this part of the request's time is worth memory, and a guess at when its last byte was written.
+MAX_LAG_DIVISOR = 8
+
+
+class UploadTiming:
+    """Observes the reading of one connection and sets the deadlines of its streamed requests."""
+
+    def __init__(self, sock: socket.socket, engine: Engine, memory: BufferMemory) -> None:
+        self.engine = engine
+        self.memory = memory
+        self.lag = ReadLag(sock)
+        self.expected_at = 0  # when the last byte may have been written, as the engine was told; 0: was not
+
+    def bytes_read(self, count: int) -> None:
+        """Count received bytes, before they are handled."""
+        self.lag.read_bytes += count
+
+    def read_handled(self) -> None:
+        """The received bytes have been parsed: nothing asks any more when they were written."""
+        if self.lag.samples:
+            self.lag.update(time.monotonic_ns())
+
+    def reading_paused(self) -> None:
+        self.lag.reading_paused(time.monotonic_ns())
+
+    def reading_resumed(self) -> None:
+        self.lag.reading_resumed()
+
+    def request_began(self) -> None:
+        """The call of another streamed request has begun."""
+        self.expected_at = 0
+
+    def completed_at(self) -> int | None:
+        """When the client can have written the last byte, which was just read; None: now."""
+        return self.lag.read_bytes_written_since()
+
+    def check(self, incoming: IncomingRequest, call: Call, held_bytes: int) -> None:
+        """Look after a streamed request that is incomplete; `held_bytes` are those that it has buffered."""
+        now, body = time.monotonic_ns(), incoming.streamed_body
+        if body is None or call.answered:
+            return
+        self.lag.update(now)
+        missing = None if incoming.length is None else incoming.length - incoming.body_size()
+        written_at = self.lag.written_since(missing)
+        if written_at is not None and now - written_at < call.budget // MAX_LAG_DIVISOR:
+            written_at = None
+        if written_at is not None and body.read_ahead(self.memory.read_ahead_bytes(held_bytes)):
+            return  # the next check knows more
+        if (written_at or 0) != self.expected_at:
+            self.expected_at = written_at or 0
+            self.engine.expect_complete(call, written_at)
--- /dev/null
+++ b/tests/net/test_read_lag.py
@@ -0,0 +1,107 @@
+"""When a client may have written bytes that are read late: bounds from pauses and unread bytes."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from garnethaven.net import read_lag
+from garnethaven.net.read_lag import SAMPLE_INTERVAL_NS, ReadLag
+
+MS = 1_000_000
+MAX_UNREAD = 1000
+
+
+@pytest.fixture
+def pair(monkeypatch: pytest.MonkeyPatch) -> Iterator[tuple[socket.socket, socket.socket]]:
+    monkeypatch.setattr(read_lag, "max_unread_bytes", lambda: MAX_UNREAD)
+    client, here = socket.socketpair()
+    yield client, here
+    client.close()
+    here.close()
+
+
+def read(lag: ReadLag, count: int, now: int) -> None:
+    lag.read_bytes += len(lag.sock.recv(count))
+    lag.update(now)
+
+
+def test_without_a_pause_the_last_byte_was_written_now(pair: tuple[socket.socket, socket.socket]) -> None:
+    client, here = pair
+    lag = ReadLag(here)
+    client.send(bytes(100))
+    lag.read_bytes += len(here.recv(100))
+    assert lag.read_bytes_written_since() is None
+    assert lag.written_since(50) is None
+
+
+def test_what_is_unread_may_have_been_written_when_reading_paused(
+    pair: tuple[socket.socket, socket.socket],
+) -> None:
+    client, here = pair
+    lag = ReadLag(here)
+    lag.reading_paused(100 * MS)
+    client.send(bytes(100))
+    lag.update(300 * MS)
+    assert lag.written_since(None) == lag.written_since(100) == 100 * MS
+    assert lag.written_since(MAX_UNREAD) == 100 * MS
+    assert lag.written_since(MAX_UNREAD + 1) is None  # no client's kernel holds so much
+
+
+def test_a_client_that_has_nothing_unread_has_not_written_the_rest(
+    pair: tuple[socket.socket, socket.socket],
+) -> None:
+    client, here = pair
+    lag = ReadLag(here)
+    lag.reading_paused(100 * MS)
+    lag.update(300 * MS)
+    assert lag.written_since(None) is None and lag.written_since(1) is None
+    client.send(bytes(100))  # reading is still paused: only since the last look
+    lag.update(500 * MS)
+    assert lag.written_since(None) == 300 * MS
+    lag.reading_resumed()
+    read(lag, 100, 600 * MS)
+    assert lag.written_since(None) is None
+
+
+def test_while_reading_goes_on_slowly_the_bound_moves_with_what_was_read(
+    pair: tuple[socket.socket, socket.socket],
+) -> None:
+    client, here = pair
+    lag = ReadLag(here)
+    lag.reading_paused(0)
+    client.send(bytes(MAX_UNREAD))
+    lag.reading_resumed()
+    for number in range(1, 11):
+        read(lag, 500, number * 100 * MS)
+        client.send(bytes(500))
+    # 5,000 bytes were read and 1,000 are unread: the 6,000th can't have been written before 5,000 were read.
+    assert lag.written_since(None) == 900 * MS
+    # The 5,000th can't have been written before 4,000 were read.
+    assert lag.read_bytes_written_since() == 700 * MS
+
+
+def test_a_long_standstill_keeps_few_samples(pair: tuple[socket.socket, socket.socket]) -> None:
+    client, here = pair
+    lag = ReadLag(here)
+    lag.reading_paused(0)
+    client.send(bytes(100))
+    for number in range(1000):
+        lag.update(number * SAMPLE_INTERVAL_NS)
+    assert len(lag.samples) <= 3
+    assert lag.written_since(None) == 0
+
+
+def test_the_bound_is_at_least_what_the_kernel_lets_a_client_write() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        here, _ = listener.accept()
+        with client, here:
+            client.setblocking(False)
+            written = 0
+            with pytest.raises(BlockingIOError):
+                while True:
+                    written += client.send(bytes(65536))
+            assert written - 131_072 <= read_lag.max_unread_bytes()  # accepted here with a larger buffer
--- a/tests/net/test_slow_servers.py
+++ b/tests/net/test_slow_servers.py
@@ -7,9 +7,12 @@
 
 import pytest
 
+from garnethaven.connections.pool import PlannedTarget
+from garnethaven.limits.budgets import BufferMemory
 from garnethaven.net.upstream import Target
-from tests.loopback import ANSWER, Sidecar, request, run
-from tests.test_flow import Serve, Server, read_answer, upload
+from tests.connections.planned import use_planned_pool
+from tests.loopback import ANSWER, Sidecar, request, run, wait_until
+from tests.test_flow import Serve, Server, chunked, read_answer, upload
 
 BUFFER_BYTES = 64 * 1024  # between the sidecar and the server, so that the server stops the sidecar soon
 BODY = bytes(range(250)) * 4800
@@ -93,3 +96,117 @@
         writer.close()
 
     run(case())
+
+
+def long_chunked_request() -> bytes:
+    return upload(None, X_Budget_Ms=str(int(BUDGET_S * 1000)), Idempotency_Key="") + chunked(BODY, 4096)
+
+
+# The failure: the time of a body in chunks began when its last byte was read, which was late or never.
+@pytest.mark.parametrize("pool", ["usual", "planned"])
+@pytest.mark.parametrize("offer", ["", "h2c"], ids=["plain", "offers an upgrade"])
+def test_a_request_in_chunks_that_its_server_reads_too_slowly_is_answered_in_its_time(
+    pool: str, offer: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if pool == "planned":
+        use_planned_pool(monkeypatch)
+        monkeypatch.setattr(PlannedTarget, "prepare", Target.prepare)
+
+    async def case() -> None:
+        sidecar, _ = await start(3.0 * BUDGET_S)
+        loop, sock = asyncio.get_running_loop(), await sidecar.plain()
+        headers = {"Connection": "Upgrade", "Upgrade": offer} if offer else {}
+        head = upload(None, X_Budget_Ms=str(int(BUDGET_S * 1000)), Idempotency_Key="", **headers)
+        await loop.sock_sendall(sock, head + chunked(BODY, 4096))
+        written_at = loop.time()
+        received = await loop.sock_recv(sock, 65536)
+        assert loop.time() - written_at < BUDGET_S + SLACK_S
+        assert int(received.split()[1]) in (502, 503, 504)
+        sock.close()
+        assert not sidecar.engine.calls
+
+    run(case())
+
+
+# The failure: where kernels held more of a body than was assumed, its time began with the last read byte.
+@pytest.mark.parametrize("framing", ["chunked", "length"])
+def test_a_request_that_may_not_be_read_ahead_is_answered_in_its_time(
+    framing: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(BufferMemory, "read_ahead_bytes", lambda memory, size: 0)
+
+    async def case() -> None:
+        sidecar, _ = await start(4.0 * BUDGET_S)
+        loop, sock = asyncio.get_running_loop(), await sidecar.plain()
+        body = BODY * 3  # 3.6 MB, which the client's kernel takes at once
+        headers = {"X_Budget_Ms": str(int(BUDGET_S * 1000)), "Idempotency_Key": ""}
+        message = upload(len(body), **headers) + body
+        if framing == "chunked":
+            message = upload(None, **headers) + chunked(body, 4096)
+        await loop.sock_sendall(sock, message)
+        written_at = loop.time()
+        received = await loop.sock_recv(sock, 65536)
+        assert loop.time() - written_at < BUDGET_S + SLACK_S
+        assert int(received.split()[1]) in (502, 503, 504)
+        sock.close()
+
+    run(case())
+
+
+# The failure to guard against: a client that pauses in a body in chunks counts as one that has written all.
+def test_a_client_that_pauses_in_chunks_is_served_by_a_server_that_pauses() -> None:
+    async def case() -> None:
+        sidecar, server = await start(0.8 * BUDGET_S)
+        reader, writer = await sidecar.connect()
+        message = long_chunked_request()
+        writer.write(message[: len(message) // 2])
+        await asyncio.sleep(1.5 * BUDGET_S)
+        writer.write(message[len(message) // 2 :])
+        assert await read_answer(reader) == (200, b"hello")
+        assert server.bodies == [BODY]
+        writer.close()
+
+    run(case())
+
+
+# The failure to guard against: bodies that are read ahead take the memory of all other requests.
+def test_bodies_read_ahead_leave_half_of_the_account_and_give_all_of_it_back() -> None:
+    async def case() -> None:
+        sidecar, _ = await start(60.0)
+        memory = sidecar.transport.pool.memory
+        memory.max_bytes = 2 * 1024 * 1024
+        clients = [await sidecar.plain() for _ in range(8)]
+        loop = asyncio.get_running_loop()
+        for number, sock in enumerate(clients):
+            headers = {"X_Budget_Ms": "2000", "Idempotency_Key": "", "X_Call_Id": f"c{number}"}
+            await loop.sock_sendall(sock, upload(None, **headers) + chunked(BODY, 4096))
+        await wait_until(lambda: bool(sidecar.engine.calls))
+        highest = 0
+        while sidecar.engine.calls:
+            highest = max(highest, memory.used_bytes)
+            await asyncio.sleep(0.01)
+        assert memory.max_bytes * 0.25 < highest < memory.max_bytes
+        for sock in clients:
+            sock.close()
+        await wait_until(lambda: memory.used_bytes == 0)
+
+    run(case())
+
+
+# The failure to guard against: a complete body that its server has not taken is in nobody's account.
+def test_what_a_server_has_not_taken_of_a_complete_body_is_in_the_account() -> None:
+    async def case() -> None:
+        sidecar, _ = await start(60.0)
+        memory = sidecar.transport.pool.memory
+        sock = await sidecar.plain()
+        headers = {"X_Budget_Ms": "2000", "Idempotency_Key": ""}
+        await asyncio.get_running_loop().sock_sendall(sock, upload(None, **headers) + chunked(BODY, 4096))
+        await wait_until(lambda: bool(sidecar.engine.calls))
+        (call,) = sidecar.engine.calls.values()
+        await wait_until(lambda: not call.body_incomplete)
+        await asyncio.sleep(0.3)  # the account is brought up to date every 0.2 s
+        assert memory.used_bytes > len(BODY) // 2
+        sock.close()
+        await wait_until(lambda: memory.used_bytes == 0)
+
+    run(case())
