Hold an answer to a long request for half of that request's time, not for 1.5 s

Cause: an answer without a stated length is held for at most 1.5 s or half of the attempt's time. The attempt's end was fixed as it began; while a body is being received that is 900 s away, so 1.5 s applied, and a request with a time of 1 s ended before. Change: one method says how much time an attempt has: to its end, to the request's deadline, which may be set after it began, and at most the request's whole time. The hold, the budget told to the server, the wait for failing system calls and the check after a dial use it; the last three had, or would have had, the 900 s too. Why this works: the hold ends before any deadline that can still be set.

--- a/garnethaven/net/transport.py
+++ b/garnethaven/net/transport.py
@@ -89,15 +89,10 @@
         )
 
     def message(self) -> tuple[bytes | bytearray, ...]:
-        """Head and body; X-Budget-Ms states the time that is left now, after any dial.
-
-        While the body is being received, the client's time has not begun; the budget bounds the value.
-        """
-        now = time.monotonic_ns()
-        left_ns = min(self.ends_at - now, self.call.deadline - now, self.call.budget)
+        """Head and body; X-Budget-Ms states the time that is left now, after any dial."""
         head = b"%s%d%s" % (
             self.request.head_before_budget,
-            max(1, left_ns // MS),
+            max(1, self._time_left_ns() // MS),
             self.request.head_after_budget,
         )
         body = self.request.body
@@ -105,6 +100,14 @@
             return (head,)
         return (head + body,) if len(body) <= len(head) else (head, body)
 
+    def _time_left_ns(self) -> int:
+        """The time that is left to the attempt; at most the request's whole time.
+
+        While the body is being received, the client's time has not begun, and may begin at any moment.
+        """
+        now = time.monotonic_ns()
+        return min(self.ends_at - now, self.call.deadline - now, self.call.budget)
+
     def start(self) -> None:
         transport = self.transport
         if self.again and self.client.has_left():
@@ -122,12 +125,12 @@
 
     def may_begin(self) -> bool:
         takes_new = self.transport.engine.balancer.accepts_attempts(self.endpoint)
-        return takes_new and time.monotonic_ns() < self.ends_at and not self.client.has_left()
+        return takes_new and self._time_left_ns() > 0 and not self.client.has_left()
 
     def patience_s(self) -> float:
         """The remaining time, divided equally among the remaining attempts."""
         remaining_attempts = max(1, self.transport.settings.max_attempts - self.number)
-        return max(0, self.ends_at - time.monotonic_ns()) / remaining_attempts / S
+        return max(0, self._time_left_ns()) / remaining_attempts / S
 
     def may_open_extra(self) -> bool:
         return self.transport.is_warm(self.endpoint)
@@ -159,7 +162,7 @@
 
     def max_hold_s(self) -> float:
         """At most half of the time that is left to the client."""
-        return min(MAX_HOLD_S, max(0, self.ends_at - time.monotonic_ns()) / S / 2)
+        return min(MAX_HOLD_S, max(0, self._time_left_ns()) / S / 2)
 
     def broken(self, written: bool) -> None:
         if_written = Outcome.STALE if self.stale else Outcome.RESET
--- a/tests/net/test_paused_answers.py
+++ b/tests/net/test_paused_answers.py
@@ -15,7 +15,17 @@
 from garnethaven.net.flow import MAX_BUFFERED_BYTES
 from tests.crossings.test_late_dials import set_idempotency
 from tests.loopback import ANSWER, Sidecar, request, run, wait_until
-from tests.test_flow import Serve, Server, read_and_answer, read_answer, read_head, start_sidecar, upload
+from tests.test_flow import (
+    Serve,
+    Server,
+    body_parts,
+    chunked,
+    read_and_answer,
+    read_answer,
+    read_head,
+    start_sidecar,
+    upload,
+)
 
 STALL_S = 0.05
 PAUSE_S = 0.2
@@ -316,3 +326,27 @@
         assert checks <= 0.5 / STALL_S + 2
 
     run(case())
+
+
+# The failure: such an answer was held back for 1.5 s though its request had 1 s, and so failed at that time.
+@pytest.mark.parametrize("body_framing", ["chunked", "length"])
+@pytest.mark.parametrize("framing", ["chunked", "until close"])
+def test_an_answer_behind_a_long_request_is_passed_on_within_half_of_its_time(
+    body_framing: str, framing: str
+) -> None:
+    async def case() -> None:
+        pieces = paused_pieces(framing, PIECES)
+        sidecar, _ = await start_sidecar(writes_with_pauses(pieces, pause_s=0.4))
+        loop, (reader, writer) = asyncio.get_running_loop(), await sidecar.connect()
+        body = bytes(100_000)
+        chunks = body_framing == "chunked"
+        head = upload(None if chunks else len(body), X_Budget_Ms="1000", Idempotency_Key="")
+        writer.write(head + (chunked(body, 4096) if chunks else body))
+        written_at = loop.time()
+        answer_head = await read_head(reader)
+        assert loop.time() - written_at < 0.75
+        parts = [part async for part in body_parts(reader, answer_head)]
+        assert (answer_head[""].split()[1], b"".join(parts)) == ("200", PIECE * PIECES)
+        writer.close()
+
+    run(case())
