--- a/standins/long_request_client.py
+++ b/standins/long_request_client.py
@@ -102,6 +102,8 @@
     writer: asyncio.Task[None], reader: asyncio.Task[None], record: ClientRecord, patience_s: float
 ) -> None:
     await asyncio.wait([writer, reader], return_when=asyncio.FIRST_COMPLETED, timeout=MAX_WRITE_S)
+    if not writer.done() and not reader.done():
+        return
     seen = -1
     while not reader.done() and len(record.received) > seen:
         seen = len(record.received)
