End no answer that has begun with the window of a repeat beside it

Cause: where a repeat has to end with the window, the engine ended all open attempts then, because an earlier one could still start later and run outside of the window. One whose answer has begun has started already. Evidence: a stalled answer in pieces, a window of 0.5 s, a time of 3 s: 503 with no body. Change: an attempt tells whether the head of its answer was received (HTTP/1.1, gRPC; never for the external processor, which can't see it); such a one has until the request's deadline.

--- a/garnethaven/engine/calls.py
+++ b/garnethaven/engine/calls.py
@@ -45,6 +45,9 @@
     def written(self) -> bool:
         """Whether the request is fully written; until then the endpoint has not started to run it."""
 
+    def answer_has_begun(self) -> bool:
+        """Whether the head of its answer was received, so that the endpoint has started to run it."""
+
 
 class Transport(Protocol):
     """Carries the attempts of a call."""
--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -418,7 +418,7 @@
             # All open attempts time out: an earlier one could still start after this one has ended.
             for open_attempt in call.attempts:
                 if open_attempt is not None and not open_attempt.over:
-                    self.call_at(now + limit, self._time_out, open_attempt)
+                    self.call_at(now + limit, self._end_with_window, open_attempt)
         attempt.start()
 
     def _may_send_another(self, call: Call) -> bool:
@@ -427,6 +427,11 @@
             return True
         return self.spending.may_spend(Spend.COPY if call.open_attempts else Spend.RETRY)
 
+    def _end_with_window(self, attempt: Attempt) -> None:
+        """End an attempt that could still start; one that answers has started and has until its deadline."""
+        if not attempt.answer_has_begun():
+            self._time_out(attempt)
+
     def _time_out(self, attempt: Attempt) -> None:
         if not attempt.over and attempt is not attempt.call.streaming_attempt:
             # A request that has not been fully written cannot have run.
--- a/garnethaven/extproc/report.py
+++ b/garnethaven/extproc/report.py
@@ -42,6 +42,9 @@
     def written(self) -> bool:
         return True  # the proxy sends the request; this process can't observe it
 
+    def answer_has_begun(self) -> bool:
+        return False
+
 
 class ReportTransport:
     """Creates the attempts of one stream's call."""
--- a/garnethaven/grpcs/transport.py
+++ b/garnethaven/grpcs/transport.py
@@ -114,6 +114,9 @@
     def written(self) -> bool:
         return self.headers_sent
 
+    def answer_has_begun(self) -> bool:
+        return bool(self.answer)
+
     # From the front's stream
 
     def send_data(self, data: bytes) -> None:
--- a/garnethaven/net/connection.py
+++ b/garnethaven/net/connection.py
@@ -271,6 +271,8 @@
         if answer.status < OK:
             return
         self.in_body = True
+        if self.exchange is not None:
+            self.exchange.answer_begun = True
         length = answer.header(b"content-length")
         answer.length = int(length) if length is not None else None
         if self.exchange is not None and answer.status == OK and self._may_be_long():
--- a/garnethaven/net/exchange.py
+++ b/garnethaven/net/exchange.py
@@ -62,6 +62,7 @@
         self.skipped = False  # was not attempted, for a reason that is not the endpoint's failure
         self.hindered = False  # waits because system calls on this machine fail at present
         self.body: StreamedBody | None = None  # follows the payload, streamed from the client
+        self.answer_begun = False  # the head of its answer was received
         self.stalled = False  # its answer has begun and pauses
         self.was_moved = False  # was moved to another connection once, before it had been written
 
@@ -108,6 +109,9 @@
         """Whether a new connection may be opened for it instead of reusing one that has rested briefly."""
         return False
 
+    def answer_has_begun(self) -> bool:
+        return self.answer_begun
+
     def written(self) -> bool:
         return self.connection is not None and self.connection.flushed
 
