Count a request's time from its last byte where it waits for a turn to be read

Here reading waits for the turns of costly connections, and for a body of up to 64 KiB no call exists until its last byte is read, so nothing watched its time at all. Change: a request that was read late is taken with the time at which its client can have written the last byte, and the decisions get the time that is left. One of which no call was made yet is refused with 503 once its time may be over; it has had no effect. After an answer the clock starts anew, since clients send one request at a time.

--- a/garnethaven/engine/engine.py
+++ b/garnethaven/engine/engine.py
@@ -218,9 +218,10 @@
 
     # Requests
 
-    def take(self, call: Call) -> bool:
+    def take(self, call: Call, written_at: int | None = None) -> bool:
         """Accept a request, which from now on must get exactly one answer.
 
+        `written_at` is when the client can have written its last byte, in monotonic nanoseconds; None: now.
         Returns False if a request with the same id is in progress: endpoints identify requests by id and
         would treat one as a duplicate of the other.
         """
@@ -233,7 +234,7 @@
             self._set_deadline(call, MAX_BODY_RECEIVE_NS)
         else:
             self.account.take(call.class_index)
-            self._set_deadline(call, call.budget)
+            self._set_deadline(call, call.budget, written_at)
         if call.dedup_key and call.prior is None and self.keyed_sends is not None:
             call.prior = self.keyed_sends.prior(call)
         if call.prior is not None:
@@ -241,11 +242,12 @@
         # A call with a prior attempt is not checked: it was admitted before and may have run already.
         elif self._refused_by_fleet_limits(call):
             return True
+        spent = 0 if written_at is None else time.monotonic_ns() - written_at
         self.post(
             Request(
                 call.id,
                 call.class_index,
-                call.budget,
+                max(1, call.budget - spent),
                 call.caller,
                 call.key,
                 call.is_retry,
--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -219,6 +219,7 @@
         if incoming.streamed_body is not None:
             incoming.streamed_body.end()
         if self.streamed_request is not incoming:
+            incoming.written_at = self.timing.completed_at()
             self.reader.ready.append(incoming)
             return
         self.streamed_request = None
@@ -304,7 +305,7 @@
             self._answer_status(503)
             return
         self.call = make_call(self, incoming, head, self.owner.transport, self.engine.settings)
-        if not self.engine.take(self.call):
+        if not self.engine.take(self.call, incoming.written_at):
             self.call = None
             self.engine.account.record_immediate(head.class_index, CallResult.FAILED)
             self._answer_with_penalty(409)
@@ -407,6 +408,7 @@
         self.call_bytes = 0
         self._update_reservation()
         self.writer.answer_ended()
+        self.timing.answer_written()
         self.active_at = self.usage.idle_since = self.owner.loop.time()
         if not self.keep_alive:
             self._close_lingering(STREAM_LINGER_S if self.streamed_request is not None else LINGER_S)
@@ -514,6 +516,8 @@
         """End the connection if a request arrives too slowly, an answer is not read, or it is idle."""
         if self.streamed_request is not None and self.call is not None:
             self.timing.check(self.streamed_request, self.call, self.reservation.size)
+        elif self.incoming is not None and self._is_free() and self.timing.is_over(self.incoming):
+            self._refuse_incomplete()
         unsent = self.transport.get_write_buffer_size()
         if self.reservation.size:
             self._update_reservation()
--- a/garnethaven/net/read_lag.py
+++ b/garnethaven/net/read_lag.py
@@ -61,6 +61,12 @@
     def reading_resumed(self) -> None:
         self.paused = False
 
+    def restart(self, now: int) -> None:
+        """What is unread belongs to something that was written from now on."""
+        self.samples.clear()
+        if self.paused:
+            self._add_sample(now)
+
     def update(self, now: int) -> None:
         """Find out whether something is still unread."""
         is_behind = has_unread(self.sock)
--- a/garnethaven/net/requests.py
+++ b/garnethaven/net/requests.py
@@ -34,6 +34,7 @@
         "status",
         "streamed_body",
         "url",
+        "written_at",
     )
 
     def __init__(self) -> None:
@@ -46,11 +47,17 @@
         self.keep_alive = False
         self.head_size = 0  # bytes of the head, once it is complete
         self.status = 0  # of the error answer to the request; 0: no error so far
+        # When the client can have written the last byte, in monotonic nanoseconds, if it was read late.
+        self.written_at: int | None = None
 
     def body_size(self) -> int:
         """The bytes of the body that were received."""
         return self.streamed_body.size if self.streamed_body is not None else len(self.body)
 
+    def missing_bytes(self) -> int | None:
+        """The bytes of the body that were not received; None if the head does not state its length."""
+        return None if self.length is None else self.length - self.body_size()
+
     def held_bytes(self) -> int:
         """The memory that the request takes, as far as it was received."""
         body = self.streamed_body.held_bytes() if self.streamed_body is not None else len(self.body)
@@ -91,9 +98,16 @@
         return len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
 
     def class_name(self) -> str:
-        return next((value for name, value in self.headers if name.lower() == b"x-call-class"), b"").decode(
-            "latin-1"
-        )
+        return self._header(b"x-call-class").decode("latin-1")
+
+    def budget_ms(self) -> int | None:
+        """The client's time in milliseconds; None if the request does not state it."""
+        budget = self._header(b"x-budget-ms")
+        return int(budget) if budget.isdigit() else None
+
+    def _header(self, lower_name: bytes) -> bytes:
+        """The value of the first header of that name; empty if there is none."""
+        return next((value for name, value in self.headers if name.lower() == lower_name), b"")
 
 
 def origin_form(url: bytes) -> bytes:
--- a/garnethaven/net/upload_timing.py
+++ b/garnethaven/net/upload_timing.py
@@ -11,7 +11,7 @@
 import time
 
 from garnethaven.engine.calls import Call
-from garnethaven.engine.engine import Engine
+from garnethaven.engine.engine import MS, Engine
 from garnethaven.limits.budgets import BufferMemory
 from garnethaven.net.read_lag import ReadLag
 from garnethaven.net.requests import IncomingRequest
@@ -44,6 +44,10 @@
     def reading_resumed(self) -> None:
         self.lag.reading_resumed()
 
+    def answer_written(self) -> None:
+        """Clients send one request at a time: what is unread from now on was written after this answer."""
+        self.lag.restart(time.monotonic_ns())
+
     def request_began(self) -> None:
         """The call of another streamed request has begun."""
         self.expected_at = 0
@@ -52,14 +56,23 @@
         """When the client can have written the last byte, which was just read; None: now."""
         return self.lag.read_bytes_written_since()
 
+    def is_over(self, incoming: IncomingRequest) -> bool:
+        """Whether the time of a request may be over of which no call was made yet, as its rest is unread."""
+        budget_ms = incoming.budget_ms()
+        if not self.lag.samples or budget_ms is None:
+            return False
+        now = time.monotonic_ns()
+        self.lag.update(now)
+        written_at = self.lag.written_since(incoming.missing_bytes())
+        return written_at is not None and now - written_at >= budget_ms * MS
+
     def check(self, incoming: IncomingRequest, call: Call, held_bytes: int) -> None:
         """Look after a streamed request that is incomplete; `held_bytes` are those that it has buffered."""
         now, body = time.monotonic_ns(), incoming.streamed_body
         if body is None or call.answered:
             return
         self.lag.update(now)
-        missing = None if incoming.length is None else incoming.length - incoming.body_size()
-        written_at = self.lag.written_since(missing)
+        written_at = self.lag.written_since(incoming.missing_bytes())
         if written_at is not None and now - written_at < call.budget // MAX_LAG_DIVISOR:
             written_at = None
         if written_at is not None and body.read_ahead(self.memory.read_ahead_bytes(held_bytes)):
--- a/tests/net/test_costly_reads.py
+++ b/tests/net/test_costly_reads.py
@@ -70,3 +70,45 @@
         writer.close()
 
     run(case())
+
+
+# The failure: the time of requests whose connections waited for their turns began with the last byte read.
+@pytest.mark.parametrize("size", [50_000, 80_000], ids=["buffered", "streamed"])
+def test_requests_that_wait_for_their_turns_are_answered_in_their_time(
+    size: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(costly_reads, "TURN_INTERVAL_S", 0.2)  # 300 kB and more take 20 turns: 4 s
+
+    async def case() -> None:
+        sidecar, _ = await start_sidecar(read_and_answer)
+        loop, sock = asyncio.get_running_loop(), await sidecar.plain()
+        head = upload(None, X_Budget_Ms="1000", Idempotency_Key="")
+        await loop.sock_sendall(sock, head + b"1\r\nx\r\n" * size + b"0\r\n\r\n")
+        written_at = loop.time()
+        received = await loop.sock_recv(sock, 65536)
+        assert loop.time() - written_at < 1.25
+        assert int(received.split()[1]) == 503
+        sock.close()
+
+    run(case())
+
+
+# The failure to guard against: a request that was read late has its whole time again.
+def test_a_request_that_was_read_after_a_turn_has_the_time_that_is_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(costly_reads, "TURN_INTERVAL_S", 0.2)
+
+    async def case() -> None:
+        sidecar, servers = await start_sidecar(read_and_answer)
+        reader, writer = await sidecar.connect()
+        writer.write(upload(None, X_Budget_Ms="1000") + b"1\r\nx\r\n" * 6000 + b"0\r\n\r\n")  # 3 reads
+        assert await read_answer(reader) == (200, b"hello")
+        (head,) = servers[0].heads
+        assert int(head["x-budget-ms"]) < 700
+        writer.write(request(X_Call_Id="next"))
+        assert await read_answer(reader) == (200, b"hello")
+        assert int(servers[0].heads[1]["x-budget-ms"]) > 2700  # it waits for one turn
+        writer.close()
+
+    run(case())
