Ask the kernel what a client has written before reading ahead of its server

Cause: nothing was known of the client's kernel, so every slow server was read ahead of. That ended back pressure; the client wrote its last byte within 0.4 s in place of 2 to 9 s, and its time began then. Change: Linux tells the send queue of the client's socket (sock_diag, 10 microseconds, no rights needed). What a client has written is known from it at each sample, so one that goes on writing has not written its last byte. Read ahead is what it wrote, once it has written nothing for half of the request's time. Where the kernel can't be asked, the limit of its buffers counts as before.

--- a/garnethaven/net/flow.py
+++ b/garnethaven/net/flow.py
@@ -102,6 +102,13 @@
             self._resume_source()
         return begins
 
+    def stop_reading_ahead(self) -> None:
+        """Read from the source as fast as the sink takes it, from now on."""
+        if self.max_held_bytes:
+            self.max_held_bytes = 0
+            if self.sink is not None and self.sink.unsent_bytes():
+                self._pause()
+
     def _pause_unless_ahead(self) -> None:
         if self.held_bytes() >= self.max_held_bytes:
             self._pause()
@@ -119,11 +126,9 @@
 
     def hold(self) -> None:
         """Buffer as little as possible: drop what a sink has been given, or pause until there is one."""
-        self.max_held_bytes = 0
+        self.stop_reading_ahead()
         if self.sink is not None:
             self.drop_replay()
-            if self.sink.unsent_bytes():
-                self._pause()
         elif not self.replay_lost:
             self._pause()
 
--- a/garnethaven/net/read_lag.py
+++ b/garnethaven/net/read_lag.py
@@ -2,8 +2,9 @@
 
 A request's time counts from when its client wrote the last byte, into its kernel's send buffer. Here that
 byte is read later wherever reading pauses: while a server takes no more of the body, or while the connection
-waits for its turn (costly_reads.py). What the client's kernel holds cannot be seen, but it is bounded, and
-once nothing is unread all that the client has written has been read.
+waits for its turn (costly_reads.py). Samples of what the client has written meanwhile bound when it wrote any
+of it. A client of this machine is asked for by its socket (peer_send_queue.py); of another one it is known
+only that its kernel holds a limited number of bytes.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from pathlib import Path
 
 from garnethaven.net.flow import RECEIVE_BUFFER_BYTES
+from garnethaven.net.peer_send_queue import PEER_SEND_QUEUE
 from garnethaven.net.presence import has_unread, unread_bytes
 
 SEND_BUFFER_LIMITS = Path("/proc/sys/net/ipv4/tcp_wmem")  # of a socket in bytes: least, initial, most
@@ -35,10 +37,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Sample:
-    """The bytes that had been read from the connection at a time, in monotonic nanoseconds."""
+    """What the client had written at a time (monotonic nanoseconds), in bytes from the connection's start."""
 
     time: int
-    read_bytes: int
+    max_written: int  # no more than that
+    min_written: int  # at least that
 
 
 class ReadLag:
@@ -75,13 +78,24 @@
         if is_behind or self.paused:
             self._add_sample(now)
 
+    def unread_bytes(self) -> int:
+        """The bytes that the client has written and this process has not read; an upper bound."""
+        queued = PEER_SEND_QUEUE.bytes_queued(self.sock)
+        return max_unread_bytes() if queued is None else unread_bytes(self.sock) + queued
+
     def _add_sample(self, now: int) -> None:
         samples = self.samples
-        if len(samples) > 1 and samples[-2].read_bytes == samples[-1].read_bytes == self.read_bytes:
+        if samples and now - samples[-1].time < SAMPLE_INTERVAL_NS:
+            return
+        queued = PEER_SEND_QUEUE.bytes_queued(self.sock)
+        unread = unread_bytes(self.sock)
+        # What is on its way between the kernels may be in both queues, so it is no more than the larger one.
+        min_written = self.read_bytes + max(unread, queued or 0)
+        max_written = self.read_bytes + (max_unread_bytes() if queued is None else unread + queued)
+        if len(samples) > 1 and samples[-2].max_written == samples[-1].max_written == max_written:
             samples.pop()  # of equal samples the first and the last are kept
-        if not samples or now - samples[-1].time >= SAMPLE_INTERVAL_NS:
-            samples.append(Sample(now, self.read_bytes))
-        while len(samples) > 1 and samples[1].read_bytes + max_unread_bytes() < self.read_bytes:
+        samples.append(Sample(now, max_written, min_written))
+        while len(samples) > 1 and samples[1].max_written < self.read_bytes:
             del samples[0]
 
     def written_since(self, missing_bytes: int | None) -> int | None:
@@ -92,9 +106,10 @@
         """
         if not self.samples or not has_unread(self.sock):
             return None
-        if missing_bytes is None:
-            missing_bytes = max(1, min(unread_bytes(self.sock), max_unread_bytes()))
-        return self._earliest(self.read_bytes + missing_bytes)
+        if missing_bytes is not None:
+            return self._earliest(self.read_bytes + missing_bytes)
+        unread = max(1, min(unread_bytes(self.sock), max_unread_bytes()))
+        return self._earliest(max(self.read_bytes + unread, self.samples[-1].min_written))
 
     def read_bytes_written_since(self) -> int | None:
         """The earliest time at which the client can have written the last byte that was read; None: now."""
@@ -102,12 +117,9 @@
 
     def _earliest(self, total_bytes: int) -> int | None:
         """The earliest time at which the client can have written so many bytes; None: never up to now."""
-        previous = self.samples[0] if self.samples else None
+        previous: Sample | None = None
         for sample in self.samples:
-            if sample.read_bytes + max_unread_bytes() >= total_bytes:
-                assert previous is not None
-                return previous.time
+            if sample.max_written >= total_bytes:
+                return (previous or sample).time
             previous = sample
-        if self.samples and self.read_bytes + max_unread_bytes() >= total_bytes:
-            return self.samples[-1].time
         return None
--- a/garnethaven/net/upload_timing.py
+++ b/garnethaven/net/upload_timing.py
@@ -1,8 +1,10 @@
 """When the time of a request begins whose body is still being received.
 
-That is when its client has written the last byte. While a server takes the body slowly, this process reads on
-ahead of it, within the account of buffered bytes, until it has read all that the client wrote: then it knows.
-Where it may not buffer more, it assumes the earliest possible time, so that no answer is late.
+That is when its client has written the last byte. A client that goes on writing has not. Where it has written
+nothing for a while, this process reads ahead of the server what the client wrote until then, within the
+account of buffered bytes: then it knows. Where it may not buffer more, it assumes the earliest possible time,
+so that no answer is late. It does not read ahead of a server that is only slow: that would begin the client's
+time earlier.
 """
 
 from __future__ import annotations
@@ -13,11 +15,12 @@
 from garnethaven.engine.calls import Call
 from garnethaven.engine.engine import MS, Engine
 from garnethaven.limits.budgets import BufferMemory
+from garnethaven.net.flow import StreamedBody
 from garnethaven.net.read_lag import ReadLag
 from garnethaven.net.requests import IncomingRequest
 
 # A lag of this part of the request's time is worth memory, and a guess at when its last byte was written.
-MAX_LAG_DIVISOR = 8
+MAX_LAG_DIVISOR = 2
 
 
 class UploadTiming:
@@ -78,8 +81,14 @@
         written_at = self.lag.written_since(incoming.missing_bytes())
         if written_at is not None and now - written_at < call.budget // MAX_LAG_DIVISOR:
             written_at = None
-        if written_at is not None and body.read_ahead(self.memory.read_ahead_bytes(held_bytes)):
+        if written_at is None:
+            body.stop_reading_ahead()
+        elif body.read_ahead(self._read_ahead_bytes(body, held_bytes)):
             return  # the next check knows more
         if (written_at or 0) != self.expected_at:
             self.expected_at = written_at or 0
             self.engine.expect_complete(call, written_at)
+
+    def _read_ahead_bytes(self, body: StreamedBody, held_bytes: int) -> int:
+        """How much of the body may be buffered: what the client has written so far, within the account."""
+        return min(self.memory.read_ahead_bytes(held_bytes), body.held_bytes() + self.lag.unread_bytes())
--- a/tests/net/test_read_lag.py
+++ b/tests/net/test_read_lag.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Iterator
 
 import pytest
 
 from garnethaven.net import read_lag
+from garnethaven.net.peer_send_queue import PEER_SEND_QUEUE, PeerSendQueue
 from garnethaven.net.read_lag import SAMPLE_INTERVAL_NS, ReadLag
 
 MS = 1_000_000
@@ -16,6 +18,7 @@
 
 @pytest.fixture
 def pair(monkeypatch: pytest.MonkeyPatch) -> Iterator[tuple[socket.socket, socket.socket]]:
+    """Sockets whose peer's queue is not known."""
     monkeypatch.setattr(read_lag, "max_unread_bytes", lambda: MAX_UNREAD)
     client, here = socket.socketpair()
     yield client, here
@@ -105,3 +108,93 @@
                 while True:
                     written += client.send(bytes(65536))
             assert written - 131_072 <= read_lag.max_unread_bytes()  # accepted here with a larger buffer
+
+
+@pytest.fixture
+def known_pair() -> Iterator[tuple[socket.socket, socket.socket]]:
+    """Sockets of which the kernel tells the peer's queue; the client's is a small one."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 64 * 1024)
+        client.connect(listener.getsockname())
+        here, _ = listener.accept()
+        client.setblocking(False)
+        with client, here:
+            yield client, here
+
+
+def fill(client: socket.socket) -> int:
+    """Write until the kernel takes no more; returns the bytes written."""
+    written = 0
+    with pytest.raises(BlockingIOError):
+        while True:
+            written += client.send(bytes(65536))
+    return written
+
+
+def wait_for_acknowledgements() -> None:
+    time.sleep(0.1)
+
+
+# The failure: without knowing what the client's kernel holds, a client that is held back counts as done.
+def test_a_client_that_goes_on_writing_has_not_written_the_last_byte(
+    known_pair: tuple[socket.socket, socket.socket],
+) -> None:
+    client, here = known_pair
+    lag = ReadLag(here)
+    lag.reading_paused(0)
+    written = fill(client)
+    wait_for_acknowledgements()
+    for number in range(1, 11):
+        lag.read_bytes += len(here.recv(65536, socket.MSG_WAITALL))
+        wait_for_acknowledgements()
+        written += fill(client)
+        wait_for_acknowledgements()
+        lag.update(number * 1000 * MS)
+    assert lag.unread_bytes() == written - lag.read_bytes
+    since = lag.written_since(None)
+    assert since is not None and since >= 9000 * MS
+    assert lag.written_since(lag.unread_bytes() + 1) is None  # it has written no more than that
+
+
+def test_a_client_that_has_stopped_writing_may_have_written_the_last_byte(
+    known_pair: tuple[socket.socket, socket.socket],
+) -> None:
+    client, here = known_pair
+    lag = ReadLag(here)
+    lag.reading_paused(0)
+    fill(client)
+    wait_for_acknowledgements()
+    lag.update(1000 * MS)
+    for number in range(2, 6):
+        lag.read_bytes += len(here.recv(1000, socket.MSG_WAITALL))
+        wait_for_acknowledgements()
+        lag.update(number * 1000 * MS)
+    assert lag.written_since(None) == 0
+    lag.read_bytes += 1
+    assert lag.read_bytes_written_since() == 0
+
+
+def test_nothing_is_known_of_a_peer_that_has_gone() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        here, _ = listener.accept()
+        with here:
+            assert PEER_SEND_QUEUE.bytes_queued(here) == 0
+            here.close()
+            assert PEER_SEND_QUEUE.bytes_queued(here) is None
+        client.close()
+
+
+def test_where_the_kernel_may_not_be_asked_the_limit_of_its_buffers_counts(
+    monkeypatch: pytest.MonkeyPatch, known_pair: tuple[socket.socket, socket.socket]
+) -> None:
+    def refuse(*arguments: int) -> socket.socket:
+        raise PermissionError
+
+    queue = PeerSendQueue()
+    monkeypatch.setattr(socket, "socket", refuse)
+    assert queue.bytes_queued(known_pair[1]) is None
+    assert not queue.is_available
+    monkeypatch.setattr(read_lag, "PEER_SEND_QUEUE", queue)
+    assert ReadLag(known_pair[1]).unread_bytes() == read_lag.max_unread_bytes()
--- a/tests/net/test_slow_servers.py
+++ b/tests/net/test_slow_servers.py
@@ -10,6 +10,7 @@
 from garnethaven.connections.pool import PlannedTarget
 from garnethaven.limits.budgets import BufferMemory
 from garnethaven.net.upstream import Target
+from standins.slow_server import AnswerPlan, Framing, ReadPlan, ServerPlan, SlowServer
 from tests.connections.planned import use_planned_pool
 from tests.loopback import ANSWER, Sidecar, request, run, wait_until
 from tests.test_flow import Serve, Server, chunked, read_answer, upload
@@ -18,6 +19,7 @@
 BODY = bytes(range(250)) * 4800
 BUDGET_S = 1.0
 SLACK_S = 0.25
+RATE = 600_000.0  # bytes that a slow server reads a second
 
 
 @pytest.fixture(autouse=True)
@@ -210,3 +212,28 @@
         await wait_until(lambda: memory.used_bytes == 0)
 
     run(case())
+
+
+# The failure to guard against: reading ahead begins the time of a client that its server's pace held back.
+@pytest.mark.parametrize("framing", ["chunked", "length"])
+def test_a_client_with_small_buffers_is_served_by_a_server_that_is_slow(framing: str) -> None:
+    async def case() -> None:
+        plan = ServerPlan(ReadPlan(bytes_per_s=RATE), AnswerPlan(Framing.LENGTH, 5))
+        server = await SlowServer("s0", lambda call_id: plan, BUFFER_BYTES).start()
+        sidecar = Sidecar([server.member()])
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32 * 1024)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, ("127.0.0.1", sidecar.port))
+        message = long_chunked_request() if framing == "chunked" else long_request() + BODY
+        began_at = loop.time()
+        await loop.sock_sendall(sock, message)
+        assert loop.time() - began_at > 0.75 * BUDGET_S
+        received = await loop.sock_recv(sock, 65536)
+        assert int(received.split()[1]) == 200
+        assert loop.time() - began_at > 1.5 * BUDGET_S
+        sock.close()
+        await server.close()
+
+    run(case())
