--- a/tests/net/test_read_lag.py
+++ b/tests/net/test_read_lag.py
@@ -198,3 +198,16 @@
     assert not queue.is_available
     monkeypatch.setattr(read_lag, "PEER_SEND_QUEUE", queue)
     assert ReadLag(known_pair[1]).unread_bytes() == read_lag.max_unread_bytes()
+
+
+# The failure: with nothing unread here for a moment, bytes that the client's kernel holds are forgotten.
+def test_bytes_that_only_the_clients_kernel_holds_are_not_forgotten(
+    monkeypatch: pytest.MonkeyPatch, known_pair: tuple[socket.socket, socket.socket]
+) -> None:
+    lag = ReadLag(known_pair[1])
+    lag.reading_paused(100 * MS)
+    lag.reading_resumed()
+    monkeypatch.setattr(PEER_SEND_QUEUE, "bytes_queued", lambda sock: 5000)
+    lag.update(500 * MS)
+    lag.read_bytes += 5000
+    assert lag.read_bytes_written_since() is not None
