Remember that bytes are unread while the client's kernel still holds some of them

Cause: ReadLag.update took "nothing is unread on this side" for "all is read" and dropped its samples, though the client's send queue still held bytes that it had written long before. written_since, which asks the same, had the same mistake.

Change: both ask the client's send queue too. The comment on the two queues of a sample is worded plainly.

--- a/garnethaven/net/read_lag.py
+++ b/garnethaven/net/read_lag.py
@@ -47,18 +47,20 @@
 class ReadLag:
     """The lag of one connection's reading; times are monotonic nanoseconds."""
 
-    __slots__ = ("paused", "read_bytes", "samples", "sock")
+    __slots__ = ("empty_since", "paused", "read_bytes", "samples", "sock")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.read_bytes = 0
         self.paused = False
+        self.empty_since: int | None = None  # None: something was unread at the last look
         # Since something may be unread, oldest first; empty: nothing is. No deque: an empty one takes 0.7 KB.
         self.samples: list[Sample] = []
 
     def reading_paused(self, now: int) -> None:
         """From now on the client may write what is not read."""
         self.paused = True
+        self.empty_since = None if self._is_behind() else now
         self._add_sample(now)
 
     def reading_resumed(self) -> None:
@@ -72,12 +74,28 @@
 
     def update(self, now: int) -> None:
         """Find out whether something is still unread."""
-        is_behind = has_unread(self.sock)
+        is_behind = self._may_be_behind(now)
         if not is_behind:
             self.samples.clear()
         if is_behind or self.paused:
             self._add_sample(now)
 
+    def _may_be_behind(self, now: int) -> bool:
+        """Whether the client may have written something before `now` that is not read."""
+        if self._is_behind():
+            self.empty_since = None
+            return True
+        if PEER_SEND_QUEUE.bytes_queued(self.sock) is not None:
+            return False
+        # A kernel that can't be asked may have learned only now that there is space here for the rest.
+        if self.empty_since is None:
+            self.empty_since = now
+        return now - self.empty_since < SAMPLE_INTERVAL_NS
+
+    def _is_behind(self) -> bool:
+        """Whether something is known to be unread, in this side's kernel or in the client's."""
+        return has_unread(self.sock) or bool(PEER_SEND_QUEUE.bytes_queued(self.sock))
+
     def unread_bytes(self) -> int:
         """The bytes that the client has written and this process has not read; an upper bound."""
         queued = PEER_SEND_QUEUE.bytes_queued(self.sock)
@@ -89,7 +107,7 @@
             return
         queued = PEER_SEND_QUEUE.bytes_queued(self.sock)
         unread = unread_bytes(self.sock)
-        # What is on its way between the kernels may be in both queues, so it is no more than the larger one.
+        # Bytes that were received and not yet acknowledged are in both queues.
         min_written = self.read_bytes + max(unread, queued or 0)
         max_written = self.read_bytes + (max_unread_bytes() if queued is None else unread + queued)
         if len(samples) > 1 and samples[-2].max_written == samples[-1].max_written == max_written:
@@ -104,7 +122,7 @@
         `missing_bytes` are those before and with the last byte that have not been read; None: not known. None
         if the client has certainly not written it.
         """
-        if not self.samples or not has_unread(self.sock):
+        if not self.samples or not self._is_behind():
             return None
         if missing_bytes is not None:
             return self._earliest(self.read_bytes + missing_bytes)
--- a/tests/net/test_read_lag.py
+++ b/tests/net/test_read_lag.py
@@ -211,3 +211,21 @@
     lag.update(500 * MS)
     lag.read_bytes += 5000
     assert lag.read_bytes_written_since() is not None
+
+
+# The failure: a client whose kernel learned of the space only after the read counted as held back by nothing.
+def test_where_the_kernel_may_not_be_asked_a_moment_without_bytes_forgets_nothing(
+    pair: tuple[socket.socket, socket.socket],
+) -> None:
+    client, here = pair
+    lag = ReadLag(here)
+    client.send(bytes(100))
+    lag.reading_paused(100 * MS)
+    lag.reading_resumed()
+    read(lag, 100, 500 * MS)
+    assert lag.read_bytes_written_since() == 100 * MS
+    client.send(bytes(100))
+    read(lag, 100, 500 * MS + SAMPLE_INTERVAL_NS // 2)
+    assert lag.read_bytes_written_since() == 100 * MS
+    lag.update(500 * MS + SAMPLE_INTERVAL_NS)
+    assert lag.read_bytes_written_since() is None
--- a/tests/rigs/test_slow_peers.py
+++ b/tests/rigs/test_slow_peers.py
@@ -23,7 +23,7 @@
 
 
 # Seeds that broke rules before: late or missing answers, answers cut off, requests given up early.
-SEEDS = [4, 5, 6, 7, 9, 15]
+SEEDS = [4, 5, 6, 7, 9, 15, 345]
 
 
 def test_drawn_slow_peers_in_short_break_nothing() -> None:
