Let the stream of a proxy that never reads outlast the test's 2,000 writes

Cause, in the test: its request has 2 s, the class's deadline. Where the 2,000 writes take longer (0.2 s on an idle machine), the processor rightly ends the stream, and grpcio's write fails in that moment.

Change: the test gives that request 20 s, as long as the test itself may take. Nothing that it checks is changed.

--- a/tests/extproc/test_operation.py
+++ b/tests/extproc/test_operation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 from pathlib import Path
 
@@ -12,6 +13,7 @@
 
 from garnethaven import __main__ as program
 from garnethaven.app.sidecar import Sidecar
+from garnethaven.engine.engine import S
 from garnethaven.extproc.mapping import TOKEN_HEADER
 from garnethaven.extproc.table import ExternalProcessor, Route
 from garnethaven.interface import Refuse, Request
@@ -19,8 +21,8 @@
 from standins.ledger import Ledger
 from standins.ports import PORTS
 from standins.proxy import ATTEMPTS, CHECKED, Proxy, ProxySettings, headers_message
-from tests.extproc.test_front import KEY, processor_harness
-from tests.loopback import run, wait_until, write_config_file
+from tests.extproc.test_front import KEY, Harness, processor_harness
+from tests.loopback import WAIT_S, run, wait_until, write_config_file
 
 
 def test_a_tenant_over_its_share_is_told_so_and_others_are_refused() -> None:
@@ -135,11 +137,23 @@
     run(case())
 
 
+def set_deadline(harness: Harness, deadline_s: float) -> None:
+    """Give all classes of requests so many seconds at the processor."""
+    classes = harness.front.classes
+    request_classes = tuple(
+        dataclasses.replace(request_class, deadline=int(deadline_s * S))
+        for request_class in classes.settings.request_classes
+    )
+    classes.settings = dataclasses.replace(classes.settings, request_classes=request_classes)
+
+
 def test_a_proxy_that_never_reads_holds_up_nobody_and_no_more_than_its_window() -> None:
     async def case() -> None:
         async with processor_harness() as harness:
+            set_deadline(harness, WAIT_S)  # the stream outlasts the writes
             unread = harness.proxy.open_stream()
-            await unread.call.write(pb.ProcessingRequest(request_headers=headers_message(harness.headers())))
+            headers = headers_message(harness.headers(x_budget_ms=str(int(WAIT_S * 1000))))
+            await unread.call.write(pb.ProcessingRequest(request_headers=headers))
             body = pb.ProcessingRequest(request_body=pb.HttpBody(body=b"x" * 4000))
             for _ in range(2000):
                 try:
