Wait for both allowed connections in the test of dials against the limit

Cause, in the test: it waits for four refusals and expects two connections then; the refusals come at once, while a connection counts only when its dial has ended.

Change: it waits for four refusals and two connections, and then checks both numbers as before.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -334,8 +334,9 @@
             for n, (_, writer) in enumerate(clients):
                 writer.write(request(X_Call_Id=f"c{n}"))
             heads = [asyncio.create_task(reader.readline()) for reader, _ in clients]
-            await wait_until(lambda: sum(head.done() for head in heads) == 4)
-            assert len(peer.requests) <= 2 and len(sidecar.transport.pool.connections) == 2
+            connections = sidecar.transport.pool.connections
+            await wait_until(lambda: sum(head.done() for head in heads) == 4 and len(connections) == 2)
+            assert len(peer.requests) <= 2 and len(connections) == 2
             for _, writer in clients:
                 writer.close()
             await asyncio.wait(heads)
