Ask the client's send queue before this side's receive buffer, and once for each update

Cause: read in the change before: bytes that move from the client's queue to this side's between the two questions were in neither, and update asked the queue twice.

Change: the queue is asked first, in the order in which bytes move; update asks it once.

Measured: tests/net/test_read_lag.py, test_slow_servers.py and test_costly_reads.py pass. The race itself was not shown by a run.

--- a/garnethaven/net/read_lag.py
+++ b/garnethaven/net/read_lag.py
@@ -82,10 +82,11 @@
 
     def _may_be_behind(self, now: int) -> bool:
         """Whether the client may have written something before `now` that is not read."""
-        if self._is_behind():
+        queued = PEER_SEND_QUEUE.bytes_queued(self.sock)
+        if queued or has_unread(self.sock):
             self.empty_since = None
             return True
-        if PEER_SEND_QUEUE.bytes_queued(self.sock) is not None:
+        if queued is not None:
             return False
         # A kernel that can't be asked may have learned only now that there is space here for the rest.
         if self.empty_since is None:
@@ -94,7 +95,8 @@
 
     def _is_behind(self) -> bool:
         """Whether something is known to be unread, in this side's kernel or in the client's."""
-        return has_unread(self.sock) or bool(PEER_SEND_QUEUE.bytes_queued(self.sock))
+        # In the order in which bytes move: none are missed between the two.
+        return bool(PEER_SEND_QUEUE.bytes_queued(self.sock)) or has_unread(self.sock)
 
     def unread_bytes(self) -> int:
         """The bytes that the client has written and this process has not read; an upper bound."""
