Let the soak's clients resend a first request that they wrote late and that was closed unread

Near its limit on connections the program closes new ones that send nothing for 0.2 s. A client of the rig that was held up between its dial and its request for longer counted the close as a lost request; the stand-in Application resends there, as it is unread.

Five cases traced by port: no whole request was read; three connections had waited 0.21 to 0.25 s, two were 8 ms old.

It stays a fault if a server ran it, and a close of a young connection stays one too.

--- a/rigs/soak_callers.py
+++ b/rigs/soak_callers.py
@@ -21,7 +21,7 @@
 ABANDON_SHARE = 0.05  # share of requests whose client closes before the answer
 SPLIT_SHARE = 0.1  # share of requests that are written in two parts
 ANSWER_TIMEOUT_MARGIN_S = 1.5  # how long after the deadline a client waits before it closes the connection
-MAX_SENDS = 3  # of a request whose kept connections were closed without an answer
+MAX_SENDS = 3  # of a request whose connections were closed without an answer and may have been unread
 
 
 class LoadGenerator:
@@ -78,7 +78,8 @@
             if line is None:
                 break  # no connection could be opened
             ended_unanswered = await self._exchange(line, payload, sent)
-            if not (reused and ended_unanswered):
+            may_be_unread = reused or line.may_be_closed_as_silent(sent.at)
+            if not (may_be_unread and ended_unanswered):
                 return
             self.judge.closed_unread.add(call_id)
         sent.abandoned = True
--- a/rigs/soak_judge.py
+++ b/rigs/soak_judge.py
@@ -47,7 +47,7 @@
     ledger: Ledger
     lag_s: float = 0.0
     client_closed_at: dict[str, float] = field(default_factory=dict)  # by request id
-    # Ids of requests whose kept connection was closed without an answer; their clients resend them.
+    # Ids of requests on kept or silent connections closed without an answer; their clients resend them.
     closed_unread: set[str] = field(default_factory=set)
     late_arrivals: list[tuple[str, float]] = field(default_factory=list)
     budget_excesses: list[tuple[str, float]] = field(default_factory=list)
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -69,9 +69,9 @@
         connection.dial_started_at = started_at
         return connection
 
-    def may_be_closed_as_silent(self) -> bool:
-        """Whether the program may have closed it as silent because this process was too slow to send."""
-        return time.monotonic() - self.dial_started_at > MAX_FIRST_REQUEST_S
+    def may_be_closed_as_silent(self, written_at: float) -> bool:
+        """Whether the program may have closed it unread, as its first request was written late."""
+        return written_at - self.dial_started_at > MAX_FIRST_REQUEST_S
 
     def ended(self) -> bool:
         """Whether the connection has been closed by either side."""
@@ -192,7 +192,7 @@
                 self.ledger.counts["no_place"] += 1
                 self.ledger.record_answer(call_id, "refused", time.monotonic())
                 return "refused", 0.0
-            reused = reused or connection.may_be_closed_as_silent()
+            reused = reused or connection.may_be_closed_as_silent(time.monotonic())
             answer, ended_unread = await self._exchange(connection, data, sent)
             if answer is not None or sent.abandoned or not (reused and ended_unread):
                 break
