Count a request's time from its arrival where it was read late

What callers saw: a request that arrived while the process was held up, or on a connection that waited to be accepted, had its whole time from when it was read. With a time of 1 s, a server that does not answer and a process stopped for 1.3 s after its last byte, its 504 came after 2.30 s, 1.3 s late.

Pauses of reading were bounded, other waits were not.

Change: the kernel tells when bytes last arrived on a connection (TCP_INFO). ReadLag begins its samples there for the first bytes of a connection and while the event loop lags, so that short and long requests, and bytes that are deferred after a suspension, have the same account. The gRPC front counts a call's time from the arrival of its head. Without TCP_INFO the time counts from the read, as before.

--- a/garnethaven/grpcs/front.py
+++ b/garnethaven/grpcs/front.py
@@ -17,6 +17,7 @@
 import asyncio
 import contextlib
 import ssl
+import time
 from collections.abc import Callable
 from itertools import count
 from typing import Any, cast
@@ -62,6 +63,7 @@
 from garnethaven.grpcs.table import Grpc, GrpcRoute
 from garnethaven.grpcs.transport import CONNECTION_WINDOW, STREAM_WINDOW, GrpcAttempt, GrpcTransport
 from garnethaven.interface import Outcome, StreamBegan
+from garnethaven.net.presence import late_arrival
 
 MAX_REPLAY_BYTES = 64 * 1024
 MAX_BUFFERED_ANSWER_BYTES = 64 * 1024
@@ -106,7 +108,7 @@
         except MappingError as error:
             self._answer_only(trailers_only(error.status, str(error).encode()))
             return
-        if not front.engine.take(call):
+        if not front.engine.take(call, self.connection.arrived_at):
             self._answer_only(trailers_only(Status.ABORTED, b"a call with this id is under way"))
 
     def _parse_call(self, front: Front) -> Call:
@@ -360,6 +362,7 @@
         self.preface_part = b""  # received part of an incomplete preface
         self.preface_received = False
         self.paused = self.reading = False  # `reading` defers `flush` until one read is processed
+        self.arrived_at: int | None = None  # when the bytes in process arrived (monotonic ns); None: now
         self.last_stream_id: int | None = None  # the last accepted stream, once the final GOAWAY is sent
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -409,6 +412,7 @@
         if not self.preface_received and not self._check_preface(data):
             return
         data, self.preface_part = self.preface_part + data, b""
+        self.arrived_at = self._late_arrival()
         self.reading = True
         valid = self._read(data)
         self.reading = False
@@ -416,6 +420,11 @@
         if not valid:
             self._close()
 
+    def _late_arrival(self) -> int | None:
+        """When the bytes arrived that were just read, if the process was held up meanwhile; None: now."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        return None if sock is None else late_arrival(sock, time.monotonic_ns())
+
     def _read(self, data: bytes) -> bool:
         """Process received data; return False if the connection must be closed."""
         try:
--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -86,9 +86,10 @@
 
     def data_received(self, data: bytes) -> None:
         self.active_at = self.owner.loop.time()
-        self.timing.bytes_read(len(data))
+        self.timing.bytes_read(len(data), self.owner.is_lagging())
         self._receive(data)
-        self.timing.read_handled()
+        if not self.deferred:
+            self.timing.read_handled()
 
     def _receive(self, data: bytes) -> None:
         if self.deferred or self.owner.should_defer_reading(self.active_at):
@@ -106,6 +107,7 @@
         if data and not self.transport.is_closing():
             self.transport.resume_reading()
             self._read(data)
+            self.timing.read_handled()
 
     def _read(self, data: bytes) -> None:
         self.has_waited = False
--- a/garnethaven/net/presence.py
+++ b/garnethaven/net/presence.py
@@ -11,6 +11,9 @@
 CLOSE, CLOSE_WAIT = 7, 8  # tcpi_state, the first byte of TCP_INFO
 NO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on, for 0 seconds
 COUNT = struct.Struct("i")
+MIN_WAIT_MS = 20  # in the kernel; bytes that waited less arrived just now
+NS_PER_MS = 1_000_000
+LAST_RECEIVED = struct.Struct("=52xI")  # TCP_INFO up to tcpi_last_data_recv, in milliseconds
 
 
 def has_unread(sock: socket.socket) -> bool:
@@ -56,6 +59,19 @@
     return _queued_bytes(sock, termios.FIONREAD) or 0
 
 
+def late_arrival(sock: socket.socket, now: int) -> int | None:
+    """When bytes last arrived in this side's kernel, read or not (monotonic nanoseconds); None: just now.
+
+    None also on systems without TCP_INFO.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.size)
+        (age_ms,) = LAST_RECEIVED.unpack(info)
+    except (AttributeError, OSError, struct.error):
+        return None
+    return now - age_ms * NS_PER_MS if age_ms >= MIN_WAIT_MS else None
+
+
 def has_ended_writing(sock: socket.socket) -> bool:
     """Whether the peer has sent its FIN, even when that has not been read.
 
--- a/garnethaven/net/read_lag.py
+++ b/garnethaven/net/read_lag.py
@@ -2,9 +2,10 @@
 
 A request's time counts from when its client wrote the last byte, into its kernel's send buffer. Here that
 byte is read later wherever reading pauses: while a server takes no more of the body, or while the connection
-waits for its turn (costly_reads.py). Samples of what the client has written meanwhile bound when it wrote any
-of it. A client of this machine is asked for by its socket (peer_send_queue.py); of another one it is known
-only that its kernel holds a limited number of bytes.
+waits for its turn (costly_reads.py). It is also read later where this process was held up, or the connection
+waited to be accepted. Samples of what the client has written meanwhile bound when it wrote any of it. A
+client of this machine is asked for by its socket (peer_send_queue.py); of another one it is known only that
+its kernel holds a limited number of bytes.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 
 from garnethaven.net.flow import RECEIVE_BUFFER_BYTES
 from garnethaven.net.peer_send_queue import PEER_SEND_QUEUE
-from garnethaven.net.presence import has_unread, unread_bytes
+from garnethaven.net.presence import has_unread, late_arrival, unread_bytes
 
 SEND_BUFFER_LIMITS = Path("/proc/sys/net/ipv4/tcp_wmem")  # of a socket in bytes: least, initial, most
 DEFAULT_MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # Linux's own default
@@ -66,6 +67,12 @@
     def reading_resumed(self) -> None:
         self.paused = False
 
+    def read_late(self, now: int) -> None:
+        """Bytes were just read that may have waited here: their client wrote them before they arrived."""
+        arrived_at = late_arrival(self.sock, now)
+        if arrived_at is not None and not self.samples:
+            self._add_sample(arrived_at)
+
     def restart(self, now: int) -> None:
         """What is unread belongs to something that was written from now on."""
         self.samples.clear()
--- a/garnethaven/net/upload_timing.py
+++ b/garnethaven/net/upload_timing.py
@@ -34,9 +34,16 @@
         self.lag = ReadLag(sock)
         self.expected_at = 0  # when the last byte may have been written, as the engine was told; 0: was not
 
-    def bytes_read(self, count: int) -> None:
-        """Count received bytes, before they are handled."""
+    def bytes_read(self, count: int, may_be_late: bool) -> None:
+        """Count received bytes, before they are handled.
+
+        `may_be_late`: they may have waited in the kernel although reading was not paused. The first ones may
+        have waited with their connection, which was not accepted yet.
+        """
+        is_first = not self.lag.read_bytes
         self.lag.read_bytes += count
+        if is_first or may_be_late:
+            self.lag.read_late(time.monotonic_ns())
 
     def read_handled(self) -> None:
         """The received bytes have been parsed: nothing asks any more when they were written."""
