Leave long requests on planned connections alone once their server has acknowledged bytes

Cause: a kept connection counts as dead if it is silent while the server answers a later request. That holds for a short request, which is sent at once; a long one can't be answered before it was read.

Change: a long request whose server's kernel has acknowledged anything since it began (TCP_INFO) is not judged by silence any more. On a dead path nothing is acknowledged, so such a connection is still found.

--- a/garnethaven/connections/pool.py
+++ b/garnethaven/connections/pool.py
@@ -24,6 +24,7 @@
 from garnethaven.limits.budgets import BufferMemory
 from garnethaven.net.connection import Connection
 from garnethaven.net.exchange import Exchange
+from garnethaven.net.presence import since_acknowledgement_s
 from garnethaven.net.upstream import Pool, Target
 
 UPDATE_INTERVAL_S = 0.1  # between two checks of which connections to open and to close
@@ -92,12 +93,19 @@
         if self.exchange is None or self.received_bytes or self._unread():
             return
         loop, plan = self.planned_target.pool.loop, self.planned_target.plan
+        if self.exchange.body is not None and self._was_acknowledged(loop.time()):
+            return  # a long request: its client may still write it, and the server read it
         if plan.is_dead(loop.time(), self.idle_before_s, self.sent_at, checks):
             self.silent = True
             self._fail()
         else:
             self.silence_timer = loop.call_later(plan.silence_timeout_s(), self._check_silence, checks + 1)
 
+    def _was_acknowledged(self, now: float) -> bool:
+        """Whether the server's kernel has acknowledged anything since the request began."""
+        age_s = since_acknowledgement_s(self.sock)
+        return age_s is not None and age_s < now - self.sent_at
+
     def _cancel_silence_timer(self) -> None:
         if self.silence_timer is not None:
             self.silence_timer.cancel()
--- a/garnethaven/net/presence.py
+++ b/garnethaven/net/presence.py
@@ -13,7 +13,9 @@
 COUNT = struct.Struct("i")
 MIN_WAIT_MS = 20  # in the kernel; bytes that waited less arrived just now
 NS_PER_MS = 1_000_000
+MS_PER_S = 1_000
 LAST_RECEIVED = struct.Struct("=52xI")  # TCP_INFO up to tcpi_last_data_recv, in milliseconds
+LAST_ACKNOWLEDGED = struct.Struct("=56xI")  # TCP_INFO up to tcpi_last_ack_recv, in milliseconds
 
 
 def has_unread(sock: socket.socket) -> bool:
@@ -64,12 +66,23 @@
 
     None also on systems without TCP_INFO.
     """
+    age_ms = _read_age_ms(sock, LAST_RECEIVED)
+    return None if age_ms is None or age_ms < MIN_WAIT_MS else now - age_ms * NS_PER_MS
+
+
+def since_acknowledgement_s(sock: socket.socket) -> float | None:
+    """Seconds since the peer's kernel last acknowledged anything; None on systems without TCP_INFO."""
+    age_ms = _read_age_ms(sock, LAST_ACKNOWLEDGED)
+    return None if age_ms is None else age_ms / MS_PER_S
+
+
+def _read_age_ms(sock: socket.socket, field: struct.Struct) -> int | None:
+    """Read the last field of a part of TCP_INFO; None on systems without it."""
     try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.size)
-        (age_ms,) = LAST_RECEIVED.unpack(info)
+        (age_ms,) = field.unpack(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, field.size))
     except (AttributeError, OSError, struct.error):
         return None
-    return now - age_ms * NS_PER_MS if age_ms >= MIN_WAIT_MS else None
+    return int(age_ms)
 
 
 def has_ended_writing(sock: socket.socket) -> bool:
