Wait for the event loop after the full collection in a test of the processor's front

Cause, in the test: it runs a full collection in the event loop, which the front measures as lag; over the proxy's message time-out it rightly refuses.

Change: the test waits until the front has measured the lag and is not overloaded. Its checks are unchanged.

--- a/tests/extproc/test_front.py
+++ b/tests/extproc/test_front.py
@@ -124,9 +124,12 @@
                 references.append((weakref.ref(attempt.call), weakref.ref(attempt)))
 
             front.sign_token = record_attempt  # type: ignore[method-assign, assignment]
+            checked_at = front.lag_checked_at
             gc.collect()
             gc.disable()  # reference counting alone must free the objects: full collections are rare
             try:
+                # The collection held up the event loop, for which the front may refuse requests.
+                await wait_until(lambda: front.lag_checked_at > checked_at and not front.overloaded())
                 for number in range(5):
                     exchange = harness.proxy.open_stream()
                     assert (await harness.decide(exchange, x_call_id=f"n{number}")).address
