Send the end of the stream with the decision to close, not in the next turn of the loop

Cause: before an eviction, an idle close, or a close in a shutdown the program looks into the kernel for an unread request. The transport's close, and uvloop's write_eof, take effect in the next turn of the event loop, about 1 ms later in a crowd and longer with many connections. A request that arrived in between was reset or, in a lingering close, read and discarded.

Change: where nothing is left to be written, the socket's writing side is shut down at once; the rest is as before.

--- a/garnethaven/net/client.py
+++ b/garnethaven/net/client.py
@@ -21,7 +21,7 @@
 from garnethaven.net.lingering_close import LINGER_S, MAX_LINGER_BYTES, STREAM_LINGER_S, LingeringClose
 from garnethaven.net.local_paths import local_status
 from garnethaven.net.owner import Owner
-from garnethaven.net.presence import has_unread, reset_at_close
+from garnethaven.net.presence import end_writing, has_unread, reset_at_close
 from garnethaven.net.read_buffer import BoundedReads
 from garnethaven.net.request_reader import RequestReader, UnreadableRequest
 from garnethaven.net.requests import IncomingRequest, RequestHead, parse_head
@@ -81,7 +81,7 @@
         self.transport.set_write_buffer_limits(high=0)
         self.writer = ResponseWriter(self.transport)
         self.presence = ClientPresence(self.sock, self.transport, self.writer, self.owner.loop)
-        self.lingering_close = LingeringClose(self.transport, self.owner)
+        self.lingering_close = LingeringClose(self.sock, self.transport, self.owner)
         self.owner.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -568,5 +568,7 @@
             return False  # the rest of the request, or its client's close, which will be read soon
         self.closing = True
         self.owner.close_started(self)
+        if not self.transport.get_write_buffer_size():
+            end_writing(self.sock)
         self.transport.close()
         return True
--- a/garnethaven/net/lingering_close.py
+++ b/garnethaven/net/lingering_close.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from garnethaven.net.owner import Owner
+from garnethaven.net.presence import end_writing
 
 LINGER_S = 0.5
 MAX_LINGER_BYTES = 256 * 1024
@@ -20,7 +22,8 @@
 class LingeringClose:
     """The lingering close of one connection."""
 
-    def __init__(self, transport: asyncio.Transport, owner: Owner) -> None:
+    def __init__(self, sock: socket.socket, transport: asyncio.Transport, owner: Owner) -> None:
+        self.sock = sock
         self.transport = transport
         self.owner = owner
         self.discarded_bytes = 0  # bytes that were read and discarded
@@ -29,7 +32,10 @@
     def begin(self, max_s: float) -> None:
         """Close the writing side, and the connection after at most `max_s` seconds."""
         self.transport.resume_reading()
-        self.transport.write_eof()
+        if self.transport.get_write_buffer_size():
+            self.transport.write_eof()
+        else:
+            end_writing(self.sock)
         self._wait(max_s)
 
     def discard(self, size: int, max_bytes: int) -> None:
--- a/garnethaven/net/presence.py
+++ b/garnethaven/net/presence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import select
 import socket
@@ -112,6 +113,16 @@
     return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
 
+def end_writing(sock: socket.socket) -> None:
+    """Send the end of the stream at once; nothing may be left to be written.
+
+    A transport's `close`, and uvloop's `write_eof`, send it in the next turn of the event loop, and a request
+    that arrives before would be lost.
+    """
+    with contextlib.suppress(OSError):  # the client has ended the connection
+        sock.shutdown(socket.SHUT_WR)
+
+
 def reset_at_close(sock: socket.socket) -> None:
     """Make the close of this socket send a reset, which no client takes for the end of an answer."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
