Let the rigs' clients resend by the kernel's word that a connection was closed before

Cause, in the rig: its process was held up between a dial and the first request, and wrote to a connection that the program had closed as silent meanwhile. The event loop had not told it yet; the kernel knew.

Change: the clients of the soak and the stand-in Application ask their kernel (TCP_INFO) just before they write the last part of a request. If the connection is closed by then, the request can't have been read, and an end without an answer is resent, as on kept connections. This takes the place of the rule that any first request over 0.15 s after its dial may be resent: those that are closed after they were written count as lost again, so the check is as strict or stricter. "Ran, but its client saw it closed unread" stays.

--- a/rigs/soak_callers.py
+++ b/rigs/soak_callers.py
@@ -78,7 +78,7 @@
             if line is None:
                 break  # no connection could be opened
             ended_unanswered = await self._exchange(line, payload, sent)
-            may_be_unread = reused or line.may_be_closed_as_silent(sent.at)
+            may_be_unread = reused or line.closed_before_request
             if not (may_be_unread and ended_unanswered):
                 return
             self.judge.closed_unread.add(call_id)
@@ -143,7 +143,7 @@
             line.writer.write(payload[:split_at])
             await asyncio.sleep(self.rng.uniform(0.0, 0.05))
             payload = payload[split_at:]
-        line.writer.write(payload)
+        line.write_last_part(payload)
         sent.at = time.monotonic()
         sent.written = True
 
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 import time
 from dataclasses import dataclass
 from itertools import count
@@ -19,7 +20,7 @@
 
 CONNECT_S = 1.0
 MAX_CONNECTIONS_PER_REQUEST = 4  # the program may close idle connections before their use
-MAX_FIRST_REQUEST_S = 0.15  # from dial to request; after that the program may close the connection as idle
+TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8  # tcpi_state, the first byte of TCP_INFO: reset, or closed by the peer
 MISSED_WINDOW_S = 1.0  # an idle connection counts as missed if another is needed this soon after its close
 
 
@@ -52,26 +53,36 @@
         self.reader = reader
         self.writer = writer
         self.open = True
-        self.dial_started_at = 0.0
+        self.closed_before_request = False  # the program had closed it before the request was written
 
     @classmethod
     async def dial(cls, port: int, allowance: ConnectionAllowance) -> ClientConnection | None:
         """Open a connection; None if the allowance is exhausted. Raises OSError if the dial fails."""
         if not allowance.acquire():
             return None
-        started_at = time.monotonic()
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), CONNECT_S)
         except BaseException:
             allowance.release()
             raise
-        connection = cls(allowance, reader, writer)
-        connection.dial_started_at = started_at
-        return connection
+        return cls(allowance, reader, writer)
 
-    def may_be_closed_as_silent(self, written_at: float) -> bool:
-        """Whether the program may have closed it unread, as its first request was written late."""
-        return written_at - self.dial_started_at > MAX_FIRST_REQUEST_S
+    def write_last_part(self, data: bytes) -> None:
+        """Write the end of a request, and record whether the program had closed the connection before."""
+        self.closed_before_request = self._peer_has_closed()
+        self.writer.write(data)
+
+    def _peer_has_closed(self) -> bool:
+        """Whether the program has closed the connection, by this side's kernel.
+
+        The event loop may know of it only later, if this process was held up.
+        """
+        sock: socket.socket = self.writer.get_extra_info("socket")
+        try:
+            state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            return True  # closed on this side, after an error
+        return state in (TCP_CLOSE, TCP_CLOSE_WAIT)
 
     def ended(self) -> bool:
         """Whether the connection has been closed by either side."""
@@ -192,9 +203,9 @@
                 self.ledger.counts["no_place"] += 1
                 self.ledger.record_answer(call_id, "refused", time.monotonic())
                 return "refused", 0.0
-            reused = reused or connection.may_be_closed_as_silent(time.monotonic())
             answer, ended_unread = await self._exchange(connection, data, sent)
-            if answer is not None or sent.abandoned or not (reused and ended_unread):
+            may_be_unread = reused or connection.closed_before_request
+            if answer is not None or sent.abandoned or not (may_be_unread and ended_unread):
                 break
         return self._record_answer(sent, answer)
 
@@ -241,7 +252,7 @@
         """The answer, or None; and whether the connection ended without one, as an idle close would."""
         sent.at = time.monotonic()
         try:
-            connection.writer.write(data)
+            connection.write_last_part(data)
             sent.written = True
             answer = await asyncio.wait_for(read_message(connection.reader), sent.budget_s + 2.0)
         except TimeoutError:
