Give the program under a crowd a port that no other listener can be given meanwhile

What was seen: with the whole suite suspended for 0.1 to 0.5 s at a time (trial, two other suites beside it) test_crowds[half of 400 kB] waited 60 s for an answer to its readiness request.

Cause, by reading: the test took a free port from the kernel, closed it, and then opened four servers on ports of the kernel's choice, before the program bound it. A server, also one of another process, can get that port and take the request, whose body it reads until the end of the stream. The program's log was gone: not proved.

Against a fault of the program: 200 starts suspended at random for 0.1 to 1.1 s at a time, on ports of their own, were all ready (trial).

Change: the port comes from the block that a process has for itself, as in the rigs. No check changes.

Measured: tests/limits/test_crowds.py passes.

--- a/tests/limits/crowd.py
+++ b/tests/limits/crowd.py
@@ -6,13 +6,13 @@
 import contextlib
 import os
 import re
-import socket
 import sys
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from standins.ports import PORTS
 from tests.loopback import request, wait_until_ready, write_config_file
 from tests.test_flow import Server, body_parts, read_head, upload
 
@@ -52,8 +52,7 @@
         self.port = 0
 
     async def start(self) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as sock:
-            self.port = sock.getsockname()[1]
+        self.port = PORTS.next_free()
         servers = [await Server(serve).start() for _ in range(SERVERS)]
         members = [
             {"id": f"s{n}", "host_port": f"127.0.0.1:{server.port}", "phase": "SERVING", "cell": 0}
