End the stand-in proxy's requests in their own time, however late their decision came

Cause, by reading, in the stand-in: a proxy took the time that a request had left before it asked for a decision, and gave it to the dial and again to the wait for the server. After a decision of up to 1 s and a hold of 0.4 s a server that crashed or hung had the request end up to that much after its 3 s; from 1 s on the ledger counts it as lost, although the program had decided in time.

Change: each step has what is left then. The ledger's rules and bounds are unchanged.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -190,8 +190,9 @@
     async def _tries(self, call_id: str, key: str, started_at: float) -> tuple[Final, str]:
         token, may_have_run, unused = "", False, False
         last: Final = "failed"
+        ends_at = started_at + self.settings.budget_s
         for _ in range(self.settings.tries):
-            left_s = started_at + self.settings.budget_s - time.monotonic()
+            left_s = ends_at - time.monotonic()
             if left_s <= 0.05:
                 break
             headers = self._headers(call_id, key, left_s)
@@ -207,7 +208,7 @@
                 decision = await stream.decide(headers, min(left_s, self.settings.message_timeout_s))
                 if decision is None:  # no decision: nothing was sent to a check server
                     if self.settings.fail_open_addresses and not may_have_run:
-                        return await self._without_decision(call_id, key, left_s)
+                        return await self._without_decision(call_id, key, ends_at)
                     last = "failed" if may_have_run else "refused"
                     await asyncio.sleep(0.1)
                     continue
@@ -223,7 +224,7 @@
                     if not may_have_run:
                         token, unused = decision.token, True
                     continue
-                answer = await self._send(decision.address, call_id, key, left_s)
+                answer = await self._send(decision.address, call_id, key, ends_at)
                 if isinstance(answer, Message):
                     await stream.report(self._response_headers(answer), self.settings.message_timeout_s)
                     if answer.status == 200:
@@ -240,11 +241,11 @@
                 stream.cancel()
         return last, ""
 
-    async def _without_decision(self, call_id: str, key: str, left_s: float) -> tuple[Final, str]:
+    async def _without_decision(self, call_id: str, key: str, ends_at: float) -> tuple[Final, str]:
         """Fail open: one try at a server chosen by the proxy, to which the processor's rules do not apply."""
         self.sent_without_decision += 1
         self.ledger.sent_without_decision.add(call_id)
-        answer = await self._send(self.rng.choice(self.settings.fail_open_addresses), call_id, key, left_s)
+        answer = await self._send(self.rng.choice(self.settings.fail_open_addresses), call_id, key, ends_at)
         if isinstance(answer, Message) and answer.status == 200:
             return "served", self._mark(answer, call_id)
         may_have_run = answer is True or (
@@ -283,8 +284,8 @@
             headers["x-rejected"] = answer.headers["x-rejected"]
         return headers
 
-    async def _send(self, address: str, call_id: str, key: str, left_s: float) -> Message | bool:
-        """The check server's answer, or, if there is none, whether the request may have run."""
+    async def _send(self, address: str, call_id: str, key: str, ends_at: float) -> Message | bool:
+        """The check server's answer by `ends_at`, or, if there is none, whether the request may have run."""
         headers = {"Host": "backend.local", "X-Call-Id": call_id, "Idempotency-Key": key}
         data = request("POST", "/api", headers, b"{}")
         host, _, port = address.rpartition(":")
@@ -295,12 +296,12 @@
             if connection[0].at_eof() or connection[1].is_closing():
                 connection = None
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
+            async with asyncio.timeout(max(0.0, ends_at - time.monotonic())):
                 reader, writer = connection or await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError):
             return False
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
+            async with asyncio.timeout(max(0.0, ends_at - time.monotonic())):
                 writer.write(data)
                 answer = await read_message(reader)
         except (OSError, TimeoutError, WireError, asyncio.IncompleteReadError):
