Rename the rigs' errands, habits, ways and lines to background tasks, settings and connections

Change: names only; standins/errands.py is standins/background_tasks.py. Nothing that a rig does or checks changes.

--- a/rigs/external_processor.py
+++ b/rigs/external_processor.py
@@ -38,7 +38,10 @@
     with tempfile.TemporaryDirectory(prefix="rig-") as folder:
         port = PORTS.next_free()
         program = await stage.up(environment=operator_file(folder, port))
-        proxies = [new_proxy(stage, f"p{n}", port, ways) for n, ways in enumerate(_proxy_ways(stage))]
+        proxies = [
+            new_proxy(stage, f"p{n}", port, proxy_settings)
+            for n, proxy_settings in enumerate(_proxy_settings(stage))
+        ]
         application = stage.application("http", ApplicationSettings(rate=HTTP_RATE, retries=0))
         started_at = now()
         async with tracking_published_changes(stage):
@@ -69,11 +72,11 @@
     return {"NODE_OPERATOR": str(file)}
 
 
-def new_proxy(stage: Stage, name: str, port: int, ways: ProxySettings) -> Proxy:
-    return Proxy(name, port, stage.ledger, random.Random(stage.rng.getrandbits(32)), ways)
+def new_proxy(stage: Stage, name: str, port: int, settings: ProxySettings) -> Proxy:
+    return Proxy(name, port, stage.ledger, random.Random(stage.rng.getrandbits(32)), settings)
 
 
-def _proxy_ways(stage: Stage) -> list[ProxySettings]:
+def _proxy_settings(stage: Stage) -> list[ProxySettings]:
     """Settings of the proxies: all lose clients and delay decisions; one forges tokens, one fails open.
 
     The proxy that fails open sends to servers that neither crash nor drain.
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -128,14 +128,16 @@
             file = Path(program.temporary_folder.name) / "operator.toml"
             file.write_text(plan.operator)
             program.environment["NODE_OPERATOR"] = str(file)
-        habits = ApplicationSettings(
+        application_settings = ApplicationSettings(
             rate=plan.rate / plan.programs,
             retries=plan.retries,
             respects_retry_after=self.rng.random() < plan.honours,
         )
         rng = random.Random(self.rng.getrandbits(32))
         allowance = ConnectionAllowance(self.sockets // 3)
-        application = Application(name, program.port, self.ledger, allowance, rng, habits, via=name)
+        application = Application(
+            name, program.port, self.ledger, allowance, rng, application_settings, via=name
+        )
         node = Node(name, program, View(), application)
         node.view = self.discovery.view(name, node.rewrite)
         node.down = number >= plan.programs - plan.late_starters
@@ -308,20 +310,22 @@
         first, second, both = parse_link(words)
         reverse = not first.startswith("n")
         program, peer = (second, first) if reverse else (first, second)
-        ways = tuple(Direction) if both else ((Direction.FROM_TARGET,) if reverse else (Direction.TO_TARGET,))
+        directions = (
+            tuple(Direction) if both else ((Direction.FROM_TARGET,) if reverse else (Direction.TO_TARGET,))
+        )
         node = self.nodes[program]
         key = "d" if peer == "d" else next((str(s.port) for s in self.all_servers if s.name == peer), "")
-        return [(node.links[key], ways)] if key in node.links else []
+        return [(node.links[key], directions)] if key in node.links else []
 
     async def _apply_link_fault(self, fault: Fault) -> None:
         affected = [pair for words in fault.targets for pair in self.links_of(words)]
-        for link, ways in affected:
+        for link, directions in affected:
             if fault.verb == "cut":
                 link.cut()
-            for way in ways:
-                link.faults[way].held |= fault.verb == "hold"
-                link.faults[way].dropped |= fault.verb == "drop"
-                link.faults[way].delay_s = fault.by_s
+            for direction in directions:
+                link.faults[direction].held |= fault.verb == "hold"
+                link.faults[direction].dropped |= fault.verb == "drop"
+                link.faults[direction].delay_s = fault.by_s
         await asyncio.sleep(fault.for_s)
         for link, _ in affected:
             await link.mend()
--- a/rigs/peers_fleet.py
+++ b/rigs/peers_fleet.py
@@ -88,25 +88,27 @@
     # Sending
 
     async def ask(
-        self, names: Iterable[str], tenant: str, rate: float, seconds: float, **habits: Any
+        self, names: Iterable[str], tenant: str, rate: float, seconds: float, **setting_fields: Any
     ) -> None:
         """Send a tenant's requests to each of these sidecars, without client retries.
 
-        `rate` is requests a second at each sidecar; `habits` are fields of `ApplicationSettings`.
+        `rate` is requests a second at each sidecar; `setting_fields` are fields of `ApplicationSettings`.
         """
-        applications = [self._application(name, tenant, habits) for name in names]
+        applications = [self._application(name, tenant, setting_fields) for name in names]
         for application in applications:
             application.settings.rate = rate
         await asyncio.gather(*(application.run(seconds) for application in applications))
 
-    def _application(self, name: str, tenant: str, habit_fields: dict[str, Any]) -> Application:
+    def _application(self, name: str, tenant: str, setting_fields: dict[str, Any]) -> Application:
         existing = self.applications.get((name, tenant))
         if existing is not None:
             return existing
-        habits = ApplicationSettings(retries=0, tenant=tenant, **habit_fields)
+        application_settings = ApplicationSettings(retries=0, tenant=tenant, **setting_fields)
         rng, allowance = Random(self.rng.getrandbits(32)), self.nodes[name].application.allowance
         port = self.nodes[name].program.port
-        application = Application(f"{tenant}-{name}", port, self.ledger, allowance, rng, habits, via=name)
+        application = Application(
+            f"{tenant}-{name}", port, self.ledger, allowance, rng, application_settings, via=name
+        )
         self.applications[name, tenant] = application
         return application
 
--- a/rigs/soak_callers.py
+++ b/rigs/soak_callers.py
@@ -12,8 +12,8 @@
 from itertools import count
 
 from rigs.soak_judge import Judge
+from standins.background_tasks import BackgroundTasks
 from standins.clients import ClientConnection, ConnectionAllowance
-from standins.errands import BackgroundTasks
 from standins.ledger import Final, Sent
 from standins.wire import Message, WireError, read_message, request
 
@@ -39,7 +39,7 @@
         self.allowance = ConnectionAllowance(MAX_CONNECTIONS)
         self.connect_until = float("inf")  # monotonic time after which no connections are opened
         self.running = True
-        self.errands = BackgroundTasks()
+        self.background_tasks = BackgroundTasks()
         self.request_numbers = count()
 
     async def run(self) -> None:
@@ -48,19 +48,19 @@
             due += self.rng.expovariate(self.rate)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             if self.running:
-                self.errands.begin(self._send_request())
+                self.background_tasks.begin(self._send_request())
 
     def stop(self) -> None:
         self.running = False
 
     def program_exited(self) -> None:
         """Close the idle connections, whose peer process has exited."""
-        for line in self.idle:
-            line.close()
+        for connection in self.idle:
+            connection.close()
         self.idle.clear()
 
     async def settle(self) -> None:
-        await self.errands.settle()
+        await self.background_tasks.settle()
 
     # One request
 
@@ -74,11 +74,11 @@
             call_id, key, time.monotonic(), int(budget_s * 1000) / 1000, True
         )
         for _ in range(MAX_SENDS):
-            line, reused = await self._connection()
-            if line is None:
+            connection, reused = await self._connection()
+            if connection is None:
                 break  # no connection could be opened
-            ended_unanswered = await self._exchange(line, payload, sent)
-            may_be_unread = reused or line.closed_before_request
+            ended_unanswered = await self._exchange(connection, payload, sent)
+            may_be_unread = reused or connection.closed_before_request
             if not (may_be_unread and ended_unanswered):
                 return
             self.judge.closed_unread.add(call_id)
@@ -101,26 +101,26 @@
     async def _connection(self) -> tuple[ClientConnection | None, bool]:
         """Return the most recently used idle connection or else a new one, and whether it was kept."""
         while self.idle:
-            line = self.idle.pop()
-            if not line.ended():
-                return line, True
-            line.close()
+            connection = self.idle.pop()
+            if not connection.ended():
+                return connection, True
+            connection.close()
         if time.monotonic() <= self.connect_until:
             with contextlib.suppress(OSError, TimeoutError):
                 return await ClientConnection.dial(self.port, self.allowance), False
         return None, False
 
-    async def _exchange(self, line: ClientConnection, payload: bytes, sent: Sent) -> bool:
+    async def _exchange(self, connection: ClientConnection, payload: bytes, sent: Sent) -> bool:
         """Send a request and read its answer; true where the peer closed the connection without an answer."""
         abandons = self.rng.random() < ABANDON_SHARE
         try:
-            await self._write(line, payload, sent)
+            await self._write(connection, payload, sent)
             timeout_s = sent.budget_s + ANSWER_TIMEOUT_MARGIN_S
             if abandons:
                 timeout_s = self.rng.uniform(0.0, sent.budget_s)
-            answer = await asyncio.wait_for(read_message(line.reader), timeout_s)
+            answer = await asyncio.wait_for(read_message(connection.reader), timeout_s)
         except TimeoutError:
-            line.close()
+            connection.close()
             if abandons:
                 sent.abandoned = True
                 self.judge.client_closed_at[sent.id] = time.monotonic()
@@ -128,22 +128,22 @@
         except (OSError, WireError, asyncio.IncompleteReadError):
             answer = None
         if answer is None:
-            line.close()
+            connection.close()
             return True
         self._record(sent, answer)
         if answer.closes:
-            line.close()
+            connection.close()
         else:
-            self.idle.append(line)
+            self.idle.append(connection)
         return False
 
-    async def _write(self, line: ClientConnection, payload: bytes, sent: Sent) -> None:
+    async def _write(self, connection: ClientConnection, payload: bytes, sent: Sent) -> None:
         if self.rng.random() < SPLIT_SHARE:
             split_at = self.rng.randrange(1, len(payload))
-            line.writer.write(payload[:split_at])
+            connection.writer.write(payload[:split_at])
             await asyncio.sleep(self.rng.uniform(0.0, 0.05))
             payload = payload[split_at:]
-        line.write_last_part(payload)
+        connection.write_last_part(payload)
         sent.at = time.monotonic()
         sent.written = True
 
--- a/rigs/stage.py
+++ b/rigs/stage.py
@@ -99,10 +99,10 @@
         self.discovery.close()
         return code
 
-    def application(self, name: str, habits: ApplicationSettings) -> Application:
+    def application(self, name: str, application_settings: ApplicationSettings) -> Application:
         assert self.program is not None
         rng = random.Random(self.rng.getrandbits(32))
-        return Application(name, self.program.port, self.ledger, self.allowance, rng, habits)
+        return Application(name, self.program.port, self.ledger, self.allowance, rng, application_settings)
 
     def guests(self, name: str) -> IdleClients:
         assert self.program is not None
--- a/standins/clients.py
+++ b/standins/clients.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from itertools import count
 
-from standins.errands import BackgroundTasks
+from standins.background_tasks import BackgroundTasks
 from standins.kernel import peer_has_closed
 from standins.ledger import Final, Ledger, Sent
 from standins.wire import Message, WireError, read_message, request
@@ -112,7 +112,7 @@
         ledger: Ledger,
         allowance: ConnectionAllowance,
         rng: random.Random,
-        habits: ApplicationSettings,
+        settings: ApplicationSettings,
         via: str = "",
     ) -> None:
         self.name = name
@@ -121,10 +121,10 @@
         self.ledger = ledger
         self.allowance = allowance
         self.rng = rng
-        self.settings = habits
+        self.settings = settings
         self.idle: list[ClientConnection] = []
         self.connections: set[ClientConnection] = set()
-        self.errands = BackgroundTasks()
+        self.background_tasks = BackgroundTasks()
         self.recent_closes: list[float] = []  # when the program closed idle connections
         self.idle_closed = 0
         self.missed_connections = 0
@@ -136,11 +136,11 @@
         while due < end:
             due += self.rng.expovariate(self.settings.rate)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            self.errands.begin(self._ask())
+            self.background_tasks.begin(self._ask())
 
     async def settle(self) -> None:
         """Wait until every request has ended, then close all connections."""
-        await self.errands.settle()
+        await self.background_tasks.settle()
         self.sweep()
         for connection in list(self.connections):
             connection.close()
@@ -269,7 +269,7 @@
         self.ledger = ledger
         self.allowance = allowance
         self.rng = rng
-        self.errands = BackgroundTasks()
+        self.background_tasks = BackgroundTasks()
         self.started = 0
 
     async def send_once_and_hold(self, rate: float, seconds: float) -> None:
@@ -279,7 +279,7 @@
         while due < end:
             due += self.rng.expovariate(rate)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            self.errands.begin(self._send_once_and_hold(end))
+            self.background_tasks.begin(self._send_once_and_hold(end))
 
     async def hold_silent_connections(self, count: int, seconds: float) -> None:
         """Hold this many connections that send nothing, each replaced as soon as it is closed."""
@@ -287,7 +287,7 @@
         await asyncio.gather(*(self._silent(end) for _ in range(count)))
 
     async def settle(self) -> None:
-        await self.errands.settle()
+        await self.background_tasks.settle()
 
     async def _send_once_and_hold(self, end: float) -> None:
         self.started += 1
--- a/standins/etcd/cluster.py
+++ b/standins/etcd/cluster.py
@@ -17,7 +17,7 @@
 from aetcd import rpc
 from aetcd.rpc import rpc_pb2_grpc
 
-from standins.errands import BackgroundTasks
+from standins.background_tasks import BackgroundTasks
 from standins.etcd.store import DELETE, Compacted, Lease, Store, in_range
 
 EXPIRY_CHECK_S = 0.02
--- a/standins/grpc_client.py
+++ b/standins/grpc_client.py
@@ -11,7 +11,7 @@
 import grpc
 import grpc.aio
 
-from standins.errands import BackgroundTasks
+from standins.background_tasks import BackgroundTasks
 from standins.ledger import Final, Ledger
 
 RUN, STATUS, ECHO = "/check.Checks/Run", "/check.Checks/Status", "/check.Checks/Echo"
@@ -35,7 +35,7 @@
         self.budget_s = 3.0
         self.trailers_changed = 0
         self.streams = self.streams_broken = 0
-        self.errands = BackgroundTasks()
+        self.background_tasks = BackgroundTasks()
         self.channel = grpc.aio.insecure_channel(
             f"127.0.0.1:{port}", options=[("grpc.enable_retries", 0), ("grpc.use_local_subchannel_pool", 1)]
         )
@@ -46,10 +46,10 @@
         while due < end:
             due += self.rng.expovariate(self.rate)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            self.errands.begin(self.one(f"{self.name}-{next(self.numbers):06d}"))
+            self.background_tasks.begin(self.one(f"{self.name}-{next(self.numbers):06d}"))
 
     async def settle(self) -> None:
-        await self.errands.settle()
+        await self.background_tasks.settle()
 
     async def close(self) -> None:
         await self.channel.close()
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -19,7 +19,7 @@
 from envoy.config.core.v3.base_pb2 import HeaderMap, HeaderValue
 from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
 
-from standins.errands import BackgroundTasks
+from standins.background_tasks import BackgroundTasks
 from standins.ledger import Final, Ledger
 from standins.wire import Message, WireError, read_message, request
 
@@ -123,11 +123,13 @@
 
     numbers = count()
 
-    def __init__(self, name: str, port: int, ledger: Ledger, rng: random.Random, ways: ProxySettings) -> None:
+    def __init__(
+        self, name: str, port: int, ledger: Ledger, rng: random.Random, settings: ProxySettings
+    ) -> None:
         self.name = name
         self.ledger = ledger
         self.rng = rng
-        self.settings = ways
+        self.settings = settings
         self.channel = grpc.aio.insecure_channel(
             f"127.0.0.1:{port}",
             options=[
@@ -141,7 +143,7 @@
             request_serializer=pb.ProcessingRequest.SerializeToString,
             response_deserializer=pb.ProcessingResponse.FromString,
         )
-        self.errands = BackgroundTasks()
+        self.background_tasks = BackgroundTasks()
         self.decision_times_s: list[float] = []
         self.tokens: dict[str, int] = {}  # tokens sent with retries, by the result of the processor's check
         self.sent_without_decision = 0  # requests forwarded without a decision
@@ -155,10 +157,10 @@
         while due < end:
             due += self.rng.expovariate(rate)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            self.errands.begin(self.one(f"{self.name}-{next(self.numbers):06d}"))
+            self.background_tasks.begin(self.one(f"{self.name}-{next(self.numbers):06d}"))
 
     async def settle(self) -> None:
-        await self.errands.settle()
+        await self.background_tasks.settle()
 
     async def close(self) -> None:
         for connections in self.idle.values():
--- a/tests/extproc/test_operation.py
+++ b/tests/extproc/test_operation.py
@@ -178,8 +178,8 @@
             peer = harness.peers[0]
             ledger = Ledger(6.0, 0.5, 3.0, 3.0, 0.2)
             open_addresses = (f"127.0.0.1:{peer.port}",) if opens else ()
-            ways = ProxySettings(tries=1, message_timeout_s=0.3, fail_open_addresses=open_addresses)
-            proxy = Proxy("q", harness.front.port, ledger, random.Random(2), ways)
+            settings = ProxySettings(tries=1, message_timeout_s=0.3, fail_open_addresses=open_addresses)
+            proxy = Proxy("q", harness.front.port, ledger, random.Random(2), settings)
             await harness.front.close(0.0)
             await proxy.one("q1")
             await proxy.close()
--- a/tests/limits/test_on_sockets.py
+++ b/tests/limits/test_on_sockets.py
@@ -214,8 +214,8 @@
             guests = IdleClients("g", sidecar.port, ledger, allowance, random.Random(1))
             holding = asyncio.create_task(guests.hold_silent_connections(4, 1.0))
             await wait_until(lambda: allowance.open_connections == 4)
-            habits = replace(ApplicationSettings(), retries=0)
-            application = Application("a", sidecar.port, ledger, allowance, random.Random(2), habits)
+            settings = replace(ApplicationSettings(), retries=0)
+            application = Application("a", sidecar.port, ledger, allowance, random.Random(2), settings)
             await application._ask()
             assert ledger.tally()["refused"] == 1  # the client had no connection left, so nothing was sent
             await holding
